--- /dev/null
+++ b/crates/chervilring_dev/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/chervilring_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/chervilring_wire/src/id.rs
@@ -0,0 +1,161 @@
+//! Newtypes for names, ids and versions.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::time::Stamp;
+
+/// A shared immutable string.
+pub type Name = Arc<str>;
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub Name);
+
+        impl $name {
+            /// Returns the name as a string slice.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self(name.into())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// The name of a service: a body of work with the upstreams that can do it.
+    ServiceName;
+    /// The name of a team, the holder of quotas.
+    TeamName;
+    /// The name of a failure domain.
+    DomainName;
+}
+
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    )*};
+}
+
+numbers! {
+    /// Tells apart the lives of a process that keeps its name over restarts.
+    Incarnation(u64);
+    /// The version of the ring; it only grows.
+    RingVersion(u64);
+    /// The revision of the configuration; it only grows.
+    Revision(u64);
+    /// The place of a task in its submission.
+    TaskIndex(u32);
+    /// The number of a task's attempt, from zero.
+    Attempt(u32);
+    /// A handle by which a process matches a reply to what it asked.
+    Ticket(u64);
+}
+
+macro_rules! process_ids {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name {
+            /// The configured name, kept over restarts.
+            pub name: Name,
+            /// The life of the process that has this name.
+            pub incarnation: Incarnation,
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}#{}", self.name, self.incarnation)
+            }
+        }
+    )*};
+}
+
+process_ids! {
+    /// One life of an entry.
+    EntryId;
+    /// One life of an agent.
+    AgentId;
+}
+
+/// The id of a submission, by which a caller may submit it again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SubmissionId(pub u128);
+
+impl SubmissionId {
+    /// Reads the id out of a caller's key: a UUID stands for itself, any other text for its
+    /// fingerprint.
+    pub fn from_key(key: &str) -> Self {
+        Uuid::try_parse(key).map_or_else(
+            |_| {
+                let bytes = xxh3_128(key.as_bytes()).to_be_bytes();
+                Self(Uuid::new_v8(bytes).as_u128())
+            },
+            |uuid| Self(uuid.as_u128()),
+        )
+    }
+
+    /// Creates a new id stamped with the current wall-clock time.
+    pub fn generate() -> Self {
+        Self(Uuid::now_v7().as_u128())
+    }
+
+    /// Returns when the id was made, which only a `UUIDv7` tells.
+    pub fn stamp(self) -> Option<Stamp> {
+        let uuid = Uuid::from_u128(self.0);
+        (uuid.get_version_num() == 7).then_some(Stamp((self.0 >> 80) as u64))
+    }
+}
+
+impl fmt::Display for SubmissionId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&Uuid::from_u128(self.0).hyphenated(), f)
+    }
+}
+
+/// One attempt at one task of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskKey {
+    /// The submission that the task belongs to.
+    pub submission: SubmissionId,
+    /// The place of the task in the submission.
+    pub index: TaskIndex,
+    /// The attempt; a hedge or a retry has a number of its own.
+    pub attempt: Attempt,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}.{}", self.submission, self.index, self.attempt)
+    }
+}
--- /dev/null
+++ b/crates/chervilring_wire/src/lib.rs
@@ -0,0 +1,27 @@
+//! Identifiers, verdicts and messages that the processes of the dispatcher exchange.
+//!
+//! Everything here is plain data with a `postcard` encoding. [`codec`] turns it into frames
+//! for TCP and datagrams for UDP; nothing in this crate performs I/O.
+
+pub mod codec;
+mod id;
+mod message;
+mod ring;
+mod submission;
+mod time;
+mod verdict;
+
+pub use id::{
+    AgentId, Attempt, DomainName, EntryId, Incarnation, Name, Revision, RingVersion, ServiceName,
+    SubmissionId, TaskIndex, TaskKey, TeamName, Ticket,
+};
+pub use message::{
+    AgentMessage, AgentState, Announce, AnnounceAck, ConfigBlob, Datagram, EntryMessage, Handover,
+    Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
+};
+pub use ring::{Member, Ring};
+pub use submission::{
+    Failure, Kind, Origin, Progress, Query, Reason, Reply, Submission, TaskOutcome, TaskOutput,
+};
+pub use time::{Micros, Now, Stamp, Time};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/chervilring_wire/src/message.rs
@@ -0,0 +1,243 @@
+//! Messages between entries and agents.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{
+    AgentId, DomainName, EntryId, Name, Revision, RingVersion, ServiceName, SubmissionId, TaskKey,
+    TeamName, Ticket,
+};
+use crate::ring::Ring;
+use crate::submission::{Origin, Query, Reply, Submission, TaskOutcome};
+use crate::time::Micros;
+
+/// The first message on each connection, from both sides.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hello {
+    /// An entry speaks.
+    Entry(EntryId),
+    /// An agent speaks.
+    Agent(AgentId),
+}
+
+/// Whether an agent takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AgentState {
+    /// It takes work.
+    Ready,
+    /// Its upstream has not announced itself, or its heartbeats have stopped.
+    Down,
+    /// It finishes what it has and takes no more.
+    Leaving,
+}
+
+/// What an agent has in hand, over all entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Slots of the upstream.
+    pub slots: u32,
+    /// Tasks running in slots.
+    pub running: u32,
+    /// Tasks waiting for a slot.
+    pub waiting: u32,
+}
+
+/// An agent's periodic announcement, over UDP.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announce {
+    /// The agent.
+    pub agent: AgentId,
+    /// The failure domain that its worker stands in.
+    pub domain: DomainName,
+    /// Whether it takes work.
+    pub state: AgentState,
+    /// The services that its upstream does.
+    pub services: Vec<ServiceName>,
+    /// Labels of the worker, as `key=value`, for the selectors of services.
+    pub labels: Vec<Name>,
+    /// What it has in hand.
+    pub load: Load,
+    /// The newest ring it knows.
+    pub ring: RingVersion,
+    /// The newest configuration it has in force.
+    pub revision: Revision,
+}
+
+/// An entry's answer to an announcement, over UDP.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnnounceAck {
+    /// The entry.
+    pub entry: EntryId,
+    /// The newest ring it knows.
+    pub ring: RingVersion,
+    /// The newest configuration it has in force.
+    pub revision: Revision,
+}
+
+/// A UDP datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// From an agent to an entry.
+    Announce(Announce),
+    /// From an entry to an agent.
+    Ack(AnnounceAck),
+}
+
+/// A task to be started.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskStart {
+    /// The attempt.
+    pub key: TaskKey,
+    /// Where the id of the submission comes from.
+    pub origin: Origin,
+    /// The service.
+    pub service: ServiceName,
+    /// What is left until the deadline.
+    pub remaining: Micros,
+    /// Whether the task may run again after it may have run.
+    pub idempotent: bool,
+    /// The media type of the body.
+    pub media: Name,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Tasks that an entry asks an agent to start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartBatch {
+    /// The ring under which the sender is the home.
+    pub ring: RingVersion,
+    /// The tasks.
+    pub tasks: Vec<TaskStart>,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskAnswer {
+    /// The attempt.
+    pub key: TaskKey,
+    /// How it ended.
+    pub outcome: TaskOutcome,
+    /// How long the upstream took, from the call to the whole answer; zero when it did not run.
+    pub run: Micros,
+    /// How long the task waited at the agent for a slot.
+    pub waited: Micros,
+    /// What the agent has in hand after this.
+    pub load: Load,
+}
+
+/// A whole configuration, as its JSON document.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigBlob {
+    /// The revision.
+    pub revision: Revision,
+    /// The document.
+    pub document: Bytes,
+}
+
+/// From an entry to an agent, over TCP.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EntryMessage {
+    /// Starts tasks.
+    Start(StartBatch),
+    /// Cancels tasks, queued or running.
+    Cancel(Vec<TaskKey>),
+    /// Tells of a newer ring.
+    Ring(Ring),
+    /// Tells of a newer configuration.
+    Config(ConfigBlob),
+    /// Confirms that these answers have come in: the agent may drop them.
+    Received(Vec<TaskKey>),
+}
+
+/// From an agent to an entry, over TCP.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AgentMessage {
+    /// How attempts ended; sent again after a reconnection until received.
+    Answers(Vec<TaskAnswer>),
+    /// The agent has adopted a ring, refuses starts under older ones, and has started these ids
+    /// that are now at home at the receiving entry.
+    Adopted {
+        /// The ring.
+        ring: RingVersion,
+        /// The ids.
+        started: Vec<SubmissionId>,
+        /// Whether the agent's record reaches back to the start of its worker's work; false when
+        /// it was restarted or had to forget.
+        whole: bool,
+    },
+    /// What the agent has in hand, when that changed without an answer.
+    Load(Load),
+}
+
+/// A heartbeat between entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Counts the sender's heartbeats; the answer repeats it.
+    pub ticket: Ticket,
+    /// The ring the sender has in force.
+    pub ring: Ring,
+    /// The configuration the sender has in force.
+    pub revision: Revision,
+    /// Ids that the sender started and whose next home is the receiver, since the last heartbeat
+    /// that the receiver confirmed.
+    pub started: Vec<SubmissionId>,
+    /// Agents to which the sender may start work, once the receiver has confirmed this.
+    pub agents: Vec<AgentId>,
+    /// What each team asked of the sender lately, in tasks a second, for sharing out quotas.
+    pub demand: Vec<(TeamName, u32)>,
+}
+
+/// Ids that move with a planned stop or join.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The ring under which they move.
+    pub ring: RingVersion,
+    /// Submissions that ended, with their answers.
+    pub ended: Vec<(SubmissionId, u128, Reply)>,
+    /// Whether more of them follow.
+    pub more: bool,
+}
+
+/// Between entries, over TCP.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Periodic.
+    Heartbeat(Heartbeat),
+    /// The answer to a heartbeat, with the newest ring that the receiver knows.
+    Confirm {
+        /// The heartbeat's ticket.
+        ticket: Ticket,
+        /// The newest ring that the confirming entry knows.
+        ring: Ring,
+        /// The configuration the confirming entry has in force.
+        revision: Revision,
+    },
+    /// Passes a submission to its home.
+    Submit {
+        /// Matches the reply.
+        ticket: Ticket,
+        /// The submission.
+        submission: Box<Submission>,
+    },
+    /// Passes a query to the home of its id.
+    Query {
+        /// Matches the reply.
+        ticket: Ticket,
+        /// The id asked about.
+        id: SubmissionId,
+        /// What is asked.
+        query: Query,
+    },
+    /// The reply to a submission or query.
+    Reply {
+        /// The ticket of what is answered.
+        ticket: Ticket,
+        /// The reply.
+        reply: Reply,
+    },
+    /// Ids that move to the receiver.
+    Handover(Handover),
+    /// Asks for, or brings, a newer configuration.
+    Config(Option<ConfigBlob>),
+}
