--- /dev/null
+++ b/crates/chervilring_core/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Services, release notes and the configuration they make.
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/mod.rs
@@ -0,0 +1,1 @@
+//! Queues and the choice of an upstream for each task.
--- /dev/null
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry: submissions, their ids and their callers.
--- /dev/null
+++ b/crates/chervilring_daemon/src/agent/mod.rs
@@ -0,0 +1,1 @@
+//! The agent daemon.
--- /dev/null
+++ b/crates/chervilring_daemon/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry daemon.
--- /dev/null
+++ b/crates/chervilring_daemon/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers, upstreams and operators.
--- /dev/null
+++ b/crates/chervilring_daemon/src/log/mod.rs
@@ -0,0 +1,1 @@
+//! Structured logs.
--- /dev/null
+++ b/crates/chervilring_daemon/src/metrics/mod.rs
@@ -0,0 +1,1 @@
+//! Counters and gauges, in the Prometheus exposition format.
--- /dev/null
+++ b/crates/chervilring_daemon/src/net/mod.rs
@@ -0,0 +1,1 @@
+//! Framed links, datagrams and events from threads.
--- /dev/null
+++ b/crates/chervilring_daemon/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemons, checked.
