--- /dev/null
+++ b/crates/chervilring_daemon/src/net/link.rs
@@ -0,0 +1,79 @@
+//! One TCP connection that carries frames.
+
+use std::time::Instant;
+
+use chervilring_wire::codec::{self, CodecError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use stakker_mio::mio::net::TcpStream;
+use stakker_mio::{MioSource, ReadStatus, TcpStreamBuf};
+
+use super::links::LinkState;
+
+/// How much one read takes from the system, in bytes.
+const READ_CHUNK: usize = 64 << 10;
+
+/// How much is read before the frames are handed on, in bytes.
+const READ_BATCH: usize = 1 << 20;
+
+/// How much may wait to be sent before the peer counts as stuck, in bytes.
+const MAX_UNSENT: usize = 256 << 20;
+
+/// A TCP connection with its buffers.
+pub(super) struct Link {
+    tcp: TcpStreamBuf,
+    /// When the connection was opened or accepted.
+    pub(super) opened: Instant,
+}
+
+impl Link {
+    pub(super) fn new(stream: MioSource<TcpStream>) -> Self {
+        let mut tcp = TcpStreamBuf::new();
+        tcp.set_nodelay(true);
+        tcp.init(stream);
+        Self {
+            tcp,
+            opened: Instant::now(),
+        }
+    }
+
+    /// Appends a frame to what is to be sent.
+    pub(super) fn push<T: Serialize>(&mut self, message: &T) -> Result<(), CodecError> {
+        codec::write_frame(&mut self.tcp.out, message)
+    }
+
+    /// Sends as much as the system takes.
+    pub(super) fn flush(&mut self) -> LinkState {
+        let sent = self.tcp.flush();
+        if sent.is_err() || self.tcp.out.len() > MAX_UNSENT {
+            return LinkState::Closed;
+        }
+        LinkState::Open
+    }
+
+    /// Reads a batch of bytes.
+    pub(super) fn fill(&mut self) -> LinkState {
+        let mut total = 0;
+        loop {
+            let before = self.tcp.wr - self.tcp.rd;
+            match self.tcp.read(READ_CHUNK) {
+                ReadStatus::NewData => total += self.tcp.wr - self.tcp.rd - before,
+                ReadStatus::WouldBlock => return LinkState::Open,
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => return LinkState::Closed,
+            }
+            if total >= READ_BATCH {
+                return LinkState::More;
+            }
+        }
+    }
+
+    /// Takes the next whole frame.
+    pub(super) fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>, CodecError> {
+        let input = &self.tcp.inp[self.tcp.rd..self.tcp.wr];
+        let Some((message, used)) = codec::read_frame(input)? else {
+            return Ok(None);
+        };
+        self.tcp.rd += used;
+        Ok(Some(message))
+    }
+}
