--- a/crates/chervilring_daemon/src/net/clock.rs
+++ b/crates/chervilring_daemon/src/net/clock.rs
@@ -38,7 +38,7 @@
     ///
     /// A point too far off for the platform's clock becomes a day from now.
     pub fn instant(&self, time: Time) -> Instant {
-        const DAY: Duration = Duration::from_secs(24 * 60 * 60);
+        const DAY: Duration = Duration::from_hours(24);
         self.origin
             .checked_add(Duration::from_micros(time.0))
             .unwrap_or_else(|| Instant::now() + DAY)
