--- /dev/null
+++ b/crates/chervilring_core/src/config/audit.rs
@@ -0,0 +1,19 @@
+//! The audit trail.
+
+use chervilring_wire::{Name, Revision, Stamp};
+use serde::{Deserialize, Serialize};
+
+use super::note::Note;
+
+/// What one accepted note changed, by whom and when.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AuditRecord {
+    /// The revision that the note made.
+    pub revision: Revision,
+    /// Who submitted it.
+    pub who: Name,
+    /// When, by the submitter's wall clock, in milliseconds since the Unix epoch.
+    pub when: Stamp,
+    /// The note, whole: its id, its base, and what was added, changed and withdrawn.
+    pub note: Note,
+}
