--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/agents.rs
@@ -0,0 +1,104 @@
+//! The agents that have announced themselves or connected.
+
+use chervilring_wire::{AgentId, AgentState, DomainName, Load, Name, ServiceName, Time};
+use rustc_hash::FxHashMap;
+
+/// An agent, as this entry knows it.
+#[derive(Debug)]
+pub(crate) struct AgentRow {
+    pub(crate) id: AgentId,
+    pub(crate) domain: DomainName,
+    pub(crate) state: AgentState,
+    pub(crate) services: Vec<ServiceName>,
+    pub(crate) labels: Vec<Name>,
+    pub(crate) load: Load,
+    /// Attempts of this entry there.
+    pub(crate) own: u32,
+    /// Attempts of other entries there, as last reported.
+    pub(crate) others: u32,
+    /// Whether the link is up.
+    pub(crate) linked: bool,
+    /// Whether the peers know that this entry may start work there.
+    pub(crate) allowed: bool,
+    /// When it was last heard of.
+    pub(crate) heard: Time,
+    /// Until when it must come back after its link broke.
+    pub(crate) back_by: Time,
+    /// No new work before this, after a refusal.
+    pub(crate) closed: Time,
+    /// Whether it was silent for too long.
+    pub(crate) suspect: bool,
+    /// Whether a later life of it has shown up, or it was given up.
+    pub(crate) gone: bool,
+    /// The lanes it has: row of the service, index in its pool.
+    pub(crate) lanes: Vec<(usize, usize)>,
+}
+
+impl AgentRow {
+    pub(crate) fn new(id: AgentId, now: Time) -> Self {
+        Self {
+            id,
+            domain: "".into(),
+            state: AgentState::Down,
+            services: Vec::new(),
+            labels: Vec::new(),
+            load: Load::default(),
+            own: 0,
+            others: 0,
+            linked: false,
+            allowed: false,
+            heard: now,
+            back_by: Time::NEVER,
+            closed: Time::default(),
+            suspect: false,
+            gone: false,
+            lanes: Vec::new(),
+        }
+    }
+
+    /// Returns whether it may be given work.
+    pub(crate) fn usable(&self) -> bool {
+        self.state == AgentState::Ready
+            && self.linked
+            && self.allowed
+            && !self.suspect
+            && !self.gone
+    }
+
+    /// Returns why it may not be given work, or that it may.
+    pub(crate) fn state_name(&self) -> &'static str {
+        match self.state {
+            _ if self.gone => "gone",
+            AgentState::Down => "down",
+            AgentState::Leaving => "leaving",
+            AgentState::Ready if !self.linked => "not-connected",
+            AgentState::Ready if self.suspect => "suspect",
+            AgentState::Ready if !self.allowed => "not-allowed-yet",
+            AgentState::Ready => "ready",
+        }
+    }
+}
+
+/// All agents.
+#[derive(Debug, Default)]
+pub(crate) struct Agents {
+    pub(crate) rows: Vec<AgentRow>,
+    index: FxHashMap<AgentId, usize>,
+}
+
+impl Agents {
+    pub(crate) fn find(&self, id: &AgentId) -> Option<usize> {
+        self.index.get(id).copied()
+    }
+
+    /// Returns the row of an agent, a new one if need be.
+    pub(crate) fn enter(&mut self, id: &AgentId, now: Time) -> usize {
+        if let Some(row) = self.find(id) {
+            return row;
+        }
+        let row = self.rows.len();
+        self.rows.push(AgentRow::new(id.clone(), now));
+        self.index.insert(id.clone(), row);
+        row
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -0,0 +1,370 @@
+//! The dispatcher: its tables and the events that change them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use chervilring_wire::{
+    AgentId, AgentState, Announce, EntryId, Failure, Kind, Load, Micros, Progress, Reason,
+    ServiceName, SubmissionId, TeamName, Time, Verdict,
+};
+use rustc_hash::FxHashMap;
+
+use super::agents::Agents;
+use super::attempts::Attempts;
+use super::counters::DispatchCounters;
+use super::policy::Chooser;
+use super::pool::{Lane, Pool};
+use super::queue::Queue;
+use super::settings::DispatchSettings;
+use super::status::{AgentView, DispatchStatus, ServiceStatus};
+use super::submissions::{Submission, Submissions, Task};
+use super::work::{Step, Work};
+use crate::config::{Config, Service};
+
+/// A service and what waits for it.
+#[derive(Debug)]
+pub(crate) struct ServiceRow {
+    pub(crate) service: Arc<Service>,
+    /// Whether it is in force; a withdrawn one finishes what it has.
+    pub(crate) open: bool,
+    pub(crate) queue: Queue,
+    pub(crate) pool: Pool,
+}
+
+/// Queues submissions and sends their tasks to agents.
+#[derive(Debug)]
+pub struct Dispatcher {
+    pub(crate) settings: DispatchSettings,
+    pub(crate) chooser: Chooser,
+    pub(crate) agents: Agents,
+    pub(crate) services: Vec<ServiceRow>,
+    pub(crate) names: FxHashMap<ServiceName, usize>,
+    pub(crate) submissions: Submissions,
+    pub(crate) attempts: Attempts,
+    /// Submissions by their deadlines.
+    pub(crate) deadlines: BTreeSet<(Time, usize)>,
+    pub(crate) steps: Vec<Step>,
+    /// Attempts to be cancelled, by row of the agent.
+    pub(crate) cancels: FxHashMap<usize, Vec<chervilring_wire::TaskKey>>,
+    /// When the tables are next looked over for what has timed out.
+    pub(crate) sweep_at: Time,
+    /// Counts accepted submissions, for their order.
+    pub(crate) arrivals: u64,
+    pub(crate) counters: DispatchCounters,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher that knows no service and no agent.
+    pub fn new(settings: DispatchSettings) -> Self {
+        Self {
+            chooser: Chooser::new(settings.seed),
+            settings,
+            agents: Agents::default(),
+            services: Vec::new(),
+            names: FxHashMap::default(),
+            submissions: Submissions::default(),
+            attempts: Attempts::default(),
+            deadlines: BTreeSet::new(),
+            steps: Vec::new(),
+            cancels: FxHashMap::default(),
+            sweep_at: Time::default(),
+            arrivals: 0,
+            counters: DispatchCounters::default(),
+        }
+    }
+
+    /// Takes a configuration into force.
+    pub fn configure(&mut self, now: Time, config: &Arc<Config>) {
+        for row in &mut self.services {
+            row.open = config.services.contains_key(&row.service.name);
+        }
+        for service in config.services.values() {
+            if let Some(&row) = self.names.get(&service.name) {
+                self.services[row].service = Arc::clone(service);
+                continue;
+            }
+            self.names.insert(service.name.clone(), self.services.len());
+            self.services.push(ServiceRow {
+                service: Arc::clone(service),
+                open: true,
+                queue: Queue::default(),
+                pool: Pool::default(),
+            });
+        }
+        for agent in 0..self.agents.rows.len() {
+            self.match_services(now, agent);
+        }
+    }
+
+    /// Takes in an agent's announcement.
+    pub fn announce(&mut self, now: Time, announce: &Announce) {
+        let agent = self.agents.enter(&announce.agent, now);
+        let row = &mut self.agents.rows[agent];
+        row.heard = now;
+        row.suspect = false;
+        row.state = announce.state;
+        row.domain = announce.domain.clone();
+        if row.services != announce.services || row.labels != announce.labels {
+            row.services.clone_from(&announce.services);
+            row.labels.clone_from(&announce.labels);
+            self.match_services(now, agent);
+        }
+        self.take_load(now, agent, announce.load);
+    }
+
+    /// Notes that the link to an agent is up.
+    pub fn connect(&mut self, now: Time, agent: &AgentId) {
+        let agent = self.agents.enter(agent, now);
+        let row = &mut self.agents.rows[agent];
+        row.linked = true;
+        row.heard = now;
+        row.back_by = Time::NEVER;
+        self.refresh(now, agent);
+    }
+
+    /// Notes that the peers know that this entry may start work on an agent.
+    pub fn allow(&mut self, agent: &AgentId) {
+        if let Some(agent) = self.agents.find(agent) {
+            self.agents.rows[agent].allowed = true;
+            self.refresh(Time::default(), agent);
+        }
+    }
+
+    /// Notes that the link to an agent is down; the agent may come back in the same life and send
+    /// its answers again.
+    pub fn disconnect(&mut self, now: Time, agent: &AgentId) {
+        let Some(agent) = self.agents.find(agent) else {
+            return;
+        };
+        let row = &mut self.agents.rows[agent];
+        row.linked = false;
+        row.back_by = now + self.settings.grace;
+        self.refresh(now, agent);
+    }
+
+    /// Takes in what an agent has in hand.
+    pub fn load(&mut self, now: Time, agent: &AgentId, load: Load) {
+        if let Some(agent) = self.agents.find(agent) {
+            self.agents.rows[agent].heard = now;
+            self.take_load(now, agent, load);
+        }
+    }
+
+    /// Accepts a submission.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure with the verdict [`Verdict::NotRun`] when the submission is refused.
+    pub fn submit(&mut self, now: Time, work: Work) -> Result<(), Failure> {
+        match self.admit(now, &work) {
+            Ok(service) => {
+                self.enqueue(now, service, work);
+                self.counters.accepted += 1;
+                Ok(())
+            }
+            Err((reason, retry)) => {
+                self.counters.refused += 1;
+                Err(Failure {
+                    verdict: Verdict::NotRun,
+                    reason,
+                    retry,
+                })
+            }
+        }
+    }
+
+    /// Cancels a submission, which ends it.
+    pub fn cancel(&mut self, now: Time, id: SubmissionId) {
+        if let Some(index) = self.submissions.find(id) {
+            self.counters.cancelled += 1;
+            self.give_up(now, index, Reason::Cancelled, None);
+        }
+    }
+
+    /// Returns what each team asked lately, in tasks a second.
+    pub fn demand(&self, _now: Time) -> Vec<(TeamName, u32)> {
+        Vec::new()
+    }
+
+    /// Takes in what each team asked of a peer lately.
+    pub fn peer_demand(&mut self, _now: Time, _entry: &EntryId, _demand: &[(TeamName, u32)]) {}
+
+    /// Runs the systems; starts nothing at or after `authority`, nor without one.
+    pub fn run(&mut self, now: Time, authority: Option<Time>) -> Vec<Step> {
+        self.expire(now);
+        if now >= self.sweep_at {
+            self.sweep(now);
+        }
+        if authority.is_some_and(|until| now < until) {
+            self.start(now);
+        }
+        self.flush_cancels();
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Returns when the systems are due without further events.
+    pub fn wake_at(&self) -> Time {
+        let deadline = self.deadlines.first().map_or(Time::NEVER, |d| d.0);
+        if self.steps.is_empty() && self.cancels.is_empty() {
+            deadline.min(self.sweep_at)
+        } else {
+            Time::default()
+        }
+    }
+
+    /// Returns how far a submission has come.
+    pub fn progress(&self, id: SubmissionId) -> Option<Progress> {
+        let submission = self.submissions.get(self.submissions.find(id)?)?;
+        Some(Progress {
+            done: submission.done,
+            total: submission.tasks.len() as u32,
+        })
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &DispatchCounters {
+        &self.counters
+    }
+
+    /// Returns the state, for operators.
+    pub fn status(&self, _now: Time) -> DispatchStatus {
+        let services = self.services.iter().map(|row| ServiceStatus {
+            service: row.service.name.clone(),
+            queued: row.queue.len(),
+            teams: row.queue.teams(),
+            upstreams: row.pool.lanes.iter().filter(|l| l.usable).count(),
+        });
+        let agents = self.agents.rows.iter().map(|row| AgentView {
+            agent: row.id.clone(),
+            domain: row.domain.clone(),
+            state: row.state_name(),
+            slots: row.load.slots,
+            own: row.own,
+            others: row.others,
+            runs: Vec::new(),
+        });
+        DispatchStatus {
+            submissions: self.submissions.len(),
+            running: self.attempts.len(),
+            services: services.collect(),
+            agents: agents.collect(),
+        }
+    }
+
+    /// Gives an agent a lane in each service that it does.
+    pub(crate) fn match_services(&mut self, now: Time, agent: usize) {
+        let row = &self.agents.rows[agent];
+        for (index, service) in self.services.iter_mut().enumerate() {
+            let selector = &service.service.selector;
+            let does = service.open
+                && row.services.contains(&service.service.name)
+                && selector.labels.iter().all(|l| row.labels.contains(l));
+            let known = row.lanes.iter().any(|&(s, _)| s == index);
+            if does && !known {
+                service.pool.lanes.push(Lane {
+                    agent,
+                    span: 200_000.0,
+                    mine: 0.0,
+                    open: 0,
+                    own: 0,
+                    fill: 0,
+                    usable: false,
+                });
+            }
+        }
+        let lanes = self.services.iter().enumerate().filter_map(|(s, row)| {
+            let lane = row.pool.lanes.iter().position(|l| l.agent == agent)?;
+            Some((s, lane))
+        });
+        let lanes = lanes.collect();
+        self.agents.rows[agent].lanes = lanes;
+        self.refresh(now, agent);
+    }
+
+    fn take_load(&mut self, now: Time, agent: usize, load: Load) {
+        let row = &mut self.agents.rows[agent];
+        row.load = load;
+        row.others = (load.running + load.waiting).saturating_sub(row.own);
+        self.refresh(now, agent);
+    }
+
+    /// Carries an agent's state over to its lanes.
+    pub(crate) fn refresh(&mut self, now: Time, agent: usize) {
+        let row = &self.agents.rows[agent];
+        let usable = row.usable();
+        let slots = row.load.slots;
+        let free = slots.saturating_sub(row.own + row.others);
+        for &(service, lane) in &row.lanes {
+            let service = &mut self.services[service];
+            let limit = service.service.limits.slots.unwrap_or(slots);
+            let lane = &mut service.pool.lanes[lane];
+            lane.usable = usable;
+            lane.mine = f64::from(slots.saturating_sub(row.others));
+            lane.fill = (row.own + row.others) * 1_000 / slots.max(1);
+            let room = free.min(limit.saturating_sub(lane.own));
+            let room = if self.settings.policy.push { 1 } else { room };
+            lane.open = if usable && now >= row.closed { room } else { 0 };
+        }
+    }
+
+    /// Checks whether a submission can be accepted; returns the row of its service.
+    fn admit(&self, now: Time, work: &Work) -> Result<usize, (Reason, Option<Micros>)> {
+        let row = self.names.get(&work.service).copied();
+        let Some(index) = row.filter(|&r| self.services[r].open) else {
+            return Err((Reason::UnknownService, None));
+        };
+        let row = &self.services[index];
+        let limits = &row.service.limits;
+        let tasks = work.bodies.len();
+        let bytes = work.bodies.iter().map(|b| b.len() as u64).max();
+        if tasks > limits.tasks as usize || bytes.is_some_and(|b| b > limits.body_bytes) {
+            return Err((Reason::TooLarge, None));
+        }
+        if self.submissions.find(work.id).is_some() {
+            return Err((Reason::IdReused, None));
+        }
+        if work.deadline <= now {
+            return Err((Reason::Deadline, None));
+        }
+        let does = |l: &Lane| self.agents.rows[l.agent].state != AgentState::Down;
+        if !row.pool.lanes.iter().any(does) {
+            return Err((Reason::NoUpstream, Some(Micros::from_secs(1))));
+        }
+        if row.queue.len() + tasks > limits.queue as usize {
+            return Err((Reason::Overload, Some(Micros::from_secs(1))));
+        }
+        Ok(index)
+    }
+
+    /// Puts an accepted submission in the queue of its service.
+    fn enqueue(&mut self, now: Time, service: usize, work: Work) {
+        let queue = &mut self.services[service].queue;
+        let team = queue.team(&work.team);
+        self.arrivals += 1;
+        let rank = (now, self.arrivals);
+        let tasks = work.bodies.len();
+        let deadline = work.deadline;
+        let index = self.submissions.insert(Submission {
+            service,
+            team,
+            rank,
+            tasks: (0..tasks).map(|_| Task::default()).collect(),
+            waiting: (0..tasks as u32).rev().collect(),
+            done: 0,
+            live: 0,
+            verdict: Verdict::NotRun,
+            work,
+        });
+        self.deadlines.insert((deadline, index));
+        if tasks == 0 {
+            self.complete(index);
+            return;
+        }
+        self.services[service].queue.add(team, rank, index, tasks);
+    }
+
+    /// Returns whether a submission is a request that may run again.
+    pub(crate) fn repeatable(submission: &Submission) -> bool {
+        submission.work.idempotent && submission.work.kind == Kind::Request
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/endings.rs
@@ -0,0 +1,192 @@
+//! The system that takes in answers and ends submissions.
+
+use chervilring_wire::{
+    AgentId, Failure, Micros, Reason, TaskAnswer, TaskKey, TaskOutcome, Time, Verdict,
+};
+
+use super::attempts::Attempt;
+use super::dispatcher::Dispatcher;
+use super::work::Step;
+
+/// How long an attempt that nobody waits for is remembered.
+const ORPHAN_SPAN: Micros = Micros::from_secs(2);
+
+impl Dispatcher {
+    /// Takes in answers of an agent.
+    pub fn answers(&mut self, now: Time, agent: &AgentId, answers: Vec<TaskAnswer>) {
+        let Some(agent) = self.agents.find(agent) else {
+            return;
+        };
+        self.agents.rows[agent].heard = now;
+        let mut load = None;
+        for answer in answers {
+            load = Some(answer.load);
+            self.answer(now, agent, answer);
+        }
+        let row = &mut self.agents.rows[agent];
+        if let Some(load) = load {
+            row.load = load;
+            row.others = (load.running + load.waiting).saturating_sub(row.own);
+        }
+        self.refresh(now, agent);
+    }
+
+    fn answer(&mut self, now: Time, agent: usize, answer: TaskAnswer) {
+        let known = self.attempts.get(&answer.key).copied();
+        let Some(attempt) = known.filter(|a| a.agent == agent) else {
+            self.counters.late += 1;
+            return;
+        };
+        self.forget(answer.key, &attempt);
+        let Some(index) = attempt.submission else {
+            self.counters.late += 1;
+            return;
+        };
+        match answer.outcome {
+            TaskOutcome::Done(output) => {
+                let Some(submission) = self.submissions.get_mut(index) else {
+                    return;
+                };
+                submission.verdict = Verdict::Ran;
+                let task = &mut submission.tasks[answer.key.index.0 as usize];
+                task.output = Some(output);
+                submission.done += 1;
+                if submission.done as usize == submission.tasks.len() {
+                    self.complete(index);
+                }
+            }
+            TaskOutcome::Failed(failure) => {
+                self.fail_attempt(now, index, answer.key, &attempt, &failure);
+            }
+        }
+    }
+
+    /// Deals with an attempt that did not bring an answer.
+    pub(crate) fn fail_attempt(
+        &mut self,
+        now: Time,
+        index: usize,
+        key: TaskKey,
+        attempt: &Attempt,
+        failure: &Failure,
+    ) {
+        let Some(submission) = self.submissions.get_mut(index) else {
+            return;
+        };
+        submission.verdict = submission.verdict.max(failure.verdict);
+        if failure.verdict == Verdict::NotRun {
+            self.counters.bounced += 1;
+            let pause = failure.retry.unwrap_or(Micros::from_millis(5));
+            let row = &mut self.agents.rows[attempt.agent];
+            row.closed = row.closed.max(now + pause);
+            self.sweep_at = self.sweep_at.min(row.closed);
+            self.requeue(index, key.index.0);
+            return;
+        }
+        self.give_up(now, index, failure.reason, failure.retry);
+    }
+
+    /// Puts a task back in the queue, in its submission's old place.
+    pub(crate) fn requeue(&mut self, index: usize, task: u32) {
+        let Some(submission) = self.submissions.get_mut(index) else {
+            return;
+        };
+        submission.waiting.push(task);
+        submission.tasks[task as usize].queued = true;
+        let (team, rank) = (submission.team, submission.rank);
+        let queue = &mut self.services[submission.service].queue;
+        queue.add(team, rank, index, 1);
+    }
+
+    /// Takes an attempt out of the tables.
+    pub(crate) fn forget(&mut self, key: TaskKey, attempt: &Attempt) {
+        self.attempts.remove(&key);
+        let lane = &mut self.services[attempt.service].pool.lanes[attempt.lane];
+        lane.own -= 1;
+        self.agents.rows[attempt.agent].own -= 1;
+        let submission = attempt.submission.and_then(|i| self.submissions.get_mut(i));
+        if let Some(submission) = submission {
+            submission.live -= 1;
+            submission.tasks[key.index.0 as usize].live -= 1;
+        }
+    }
+
+    /// Ends a submission with the outputs of all of its tasks.
+    pub(crate) fn complete(&mut self, index: usize) {
+        let Some(submission) = self.submissions.remove(index) else {
+            return;
+        };
+        self.counters.completed += 1;
+        self.deadlines.remove(&(submission.work.deadline, index));
+        let outputs = submission.tasks.into_iter().filter_map(|t| t.output);
+        self.steps.push(Step::Ended {
+            id: submission.work.id,
+            result: Ok(outputs.collect()),
+        });
+    }
+
+    /// Ends a submission with a failure and drops what is left of it.
+    pub(crate) fn give_up(
+        &mut self,
+        now: Time,
+        index: usize,
+        reason: Reason,
+        retry: Option<Micros>,
+    ) {
+        let Some(submission) = self.submissions.remove(index) else {
+            return;
+        };
+        self.counters.failed += 1;
+        self.deadlines.remove(&(submission.work.deadline, index));
+        let verdict = submission.verdict_now();
+        let queue = &mut self.services[submission.service].queue;
+        queue.remove(submission.team, submission.rank, submission.waiting.len());
+        for (place, task) in submission.tasks.iter().enumerate() {
+            if task.live > 0 {
+                self.drop_attempts(now, submission.work.id, place as u32, task.tries);
+            }
+        }
+        self.steps.push(Step::Ended {
+            id: submission.work.id,
+            result: Err(Failure {
+                verdict,
+                reason,
+                retry,
+            }),
+        });
+    }
+
+    /// Asks agents to drop the attempts at a task that are still there.
+    pub(crate) fn drop_attempts(
+        &mut self,
+        now: Time,
+        submission: chervilring_wire::SubmissionId,
+        task: u32,
+        tries: u32,
+    ) {
+        for number in 0..tries {
+            let key = TaskKey {
+                submission,
+                index: chervilring_wire::TaskIndex(task),
+                attempt: chervilring_wire::Attempt(number),
+            };
+            let Some(attempt) = self.attempts.get_mut(&key) else {
+                continue;
+            };
+            attempt.submission = None;
+            attempt.expiry = now + ORPHAN_SPAN;
+            self.counters.dropped += 1;
+            self.cancels.entry(attempt.agent).or_default().push(key);
+        }
+    }
+
+    /// Turns the collected cancellations into one step for each agent.
+    pub(crate) fn flush_cancels(&mut self) {
+        let mut cancels: Vec<_> = self.cancels.drain().collect();
+        cancels.sort_unstable_by_key(|c| c.0);
+        for (agent, keys) in cancels {
+            let agent = self.agents.rows[agent].id.clone();
+            self.steps.push(Step::Cancel { agent, keys });
+        }
+    }
+}
--- a/crates/chervilring_core/src/dispatch/mod.rs
+++ b/crates/chervilring_core/src/dispatch/mod.rs
@@ -1,1 +1,23 @@
 //! Queues and the choice of an upstream for each task.
+
+mod agents;
+mod attempts;
+mod counters;
+mod dispatcher;
+mod endings;
+mod policy;
+mod pool;
+mod queue;
+mod settings;
+mod starts;
+mod status;
+mod submissions;
+mod upkeep;
+mod work;
+
+pub use counters::DispatchCounters;
+pub use dispatcher::Dispatcher;
+pub use policy::Policy;
+pub use settings::DispatchSettings;
+pub use status::{AgentView, DispatchStatus, ServiceStatus};
+pub use work::{Step, Work};
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/policy.rs
@@ -0,0 +1,148 @@
+//! Ways of choosing an upstream.
+
+use super::pool::Pool;
+
+/// What a task asks of a choice.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Ask {
+    /// Tasks in the queue, this one included.
+    pub(crate) queued: usize,
+    /// The row of an agent that should not get the task.
+    pub(crate) avoid: Option<usize>,
+}
+
+/// A generator of pseudo-random numbers (xorshift), and the place in a round.
+#[derive(Debug, Clone)]
+pub(crate) struct Chooser {
+    state: u64,
+    pub(crate) turn: usize,
+}
+
+impl Chooser {
+    pub(crate) fn new(seed: u64) -> Self {
+        let state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        Self { state, turn: 0 }
+    }
+
+    /// Returns a number below `bound`, which must not be zero.
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        self.state ^= self.state << 13;
+        self.state ^= self.state >> 7;
+        self.state ^= self.state << 17;
+        ((self.state >> 11) % bound as u64) as usize
+    }
+}
+
+/// A way of choosing an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Policy {
+    /// The name by which reports call it.
+    pub name: &'static str,
+    /// Whether tasks are sent to upstreams without a free slot, to wait there.
+    pub(crate) push: bool,
+    /// Picks a lane for the task at the front of the queue; none lets it wait.
+    pub(crate) choose: fn(&Pool, &mut Chooser, Ask) -> Option<usize>,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self::expected_finish()
+    }
+}
+
+impl Policy {
+    /// Returns all policies, the default one first.
+    pub fn all() -> Vec<Self> {
+        vec![
+            Self::expected_finish(),
+            Self::random(),
+            Self::round_robin(),
+            Self::least_outstanding(),
+            Self::two_choices(),
+            Self::pull(),
+        ]
+    }
+
+    /// Returns the policy of this name.
+    pub fn by_name(name: &str) -> Option<Self> {
+        Self::all().into_iter().find(|p| p.name == name)
+    }
+
+    /// Earliest expected finish, by learnt run times; a task waits for a fast upstream rather
+    /// than start on a slow one that would finish it later.
+    pub fn expected_finish() -> Self {
+        Self {
+            name: "expected-finish",
+            push: false,
+            choose: |pool, _, ask| pool.earliest(ask),
+        }
+    }
+
+    /// Any upstream, whether it has a free slot or not.
+    pub fn random() -> Self {
+        Self {
+            name: "random",
+            push: true,
+            choose: |pool, chooser, ask| {
+                let open = pool.open(ask.avoid);
+                (!open.is_empty()).then(|| open[chooser.below(open.len())])
+            },
+        }
+    }
+
+    /// One upstream after the other, whether it has a free slot or not.
+    pub fn round_robin() -> Self {
+        Self {
+            name: "round-robin",
+            push: true,
+            choose: |pool, chooser, ask| {
+                let open = pool.open(ask.avoid);
+                chooser.turn += 1;
+                open.get(chooser.turn % open.len().max(1)).copied()
+            },
+        }
+    }
+
+    /// The upstream with the fewest tasks for its slots.
+    pub fn least_outstanding() -> Self {
+        Self {
+            name: "least-outstanding",
+            push: true,
+            choose: |pool, chooser, ask| {
+                let open = pool.open(ask.avoid);
+                let least = open.iter().map(|&l| pool.fill(l)).min()?;
+                let ties: Vec<_> = open.into_iter().filter(|&l| pool.fill(l) == least).collect();
+                Some(ties[chooser.below(ties.len())])
+            },
+        }
+    }
+
+    /// The one with fewer tasks for its slots out of two taken at random.
+    pub fn two_choices() -> Self {
+        Self {
+            name: "two-choices",
+            push: true,
+            choose: |pool, chooser, ask| {
+                let open = pool.open(ask.avoid);
+                if open.is_empty() {
+                    return None;
+                }
+                let one = open[chooser.below(open.len())];
+                let two = open[chooser.below(open.len())];
+                Some(if pool.fill(two) < pool.fill(one) { two } else { one })
+            },
+        }
+    }
+
+    /// Any upstream with a free slot: slots pull tasks from the queue.
+    pub fn pull() -> Self {
+        Self {
+            name: "pull",
+            push: false,
+            choose: |pool, chooser, ask| {
+                let open = pool.open(ask.avoid);
+                (!open.is_empty()).then(|| open[chooser.below(open.len())])
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of the dispatcher.
+
+use chervilring_wire::{DomainName, Micros};
+
+use super::policy::Policy;
+
+/// Settings of a [`Dispatcher`](super::Dispatcher), built up from defaults.
+#[derive(Debug, Clone)]
+pub struct DispatchSettings {
+    pub(crate) domain: DomainName,
+    pub(crate) seed: u64,
+    pub(crate) policy: Policy,
+    pub(crate) suspect: Micros,
+    pub(crate) lost: Micros,
+    pub(crate) grace: Micros,
+    pub(crate) ejected_percent: u32,
+}
+
+impl DispatchSettings {
+    /// Creates the settings for an entry in the given failure domain.
+    pub fn new(domain: DomainName) -> Self {
+        Self {
+            domain,
+            seed: 1,
+            policy: Policy::default(),
+            suspect: Micros::from_millis(1_500),
+            lost: Micros::from_secs(5),
+            grace: Micros::from_secs(1),
+            ejected_percent: 30,
+        }
+    }
+
+    /// Sets the seed of the generator that breaks ties.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets how an upstream is chosen.
+    pub fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets after which silence an agent gets no new work.
+    pub fn suspect(mut self, span: Micros) -> Self {
+        self.suspect = span;
+        self
+    }
+
+    /// Sets after which silence an agent is given up as lost.
+    pub fn lost(mut self, span: Micros) -> Self {
+        self.lost = span;
+        self
+    }
+
+    /// Sets how long an agent whose link broke may take to come back with its answers.
+    pub fn grace(mut self, span: Micros) -> Self {
+        self.grace = span;
+        self
+    }
+
+    /// Sets the share of a service's upstreams that may be ejected at once, in percent.
+    pub fn ejected_percent(mut self, percent: u32) -> Self {
+        self.ejected_percent = percent.min(100);
+        self
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/submissions.rs
@@ -0,0 +1,100 @@
+//! The submissions in hand and their tasks.
+
+use chervilring_wire::{SubmissionId, TaskOutput, Time, Verdict};
+use rustc_hash::FxHashMap;
+
+use super::work::Work;
+
+/// The place of a submission in the table; reused after it has ended.
+pub(crate) type SubmissionIndex = usize;
+
+/// A task of a submission.
+#[derive(Debug, Default)]
+pub(crate) struct Task {
+    /// Attempts sent so far; also the number of the next one.
+    pub(crate) tries: u32,
+    /// Attempts at agents now.
+    pub(crate) live: u32,
+    /// Whether it waits in the queue.
+    pub(crate) queued: bool,
+    /// The row of the agent that the last attempt went to.
+    pub(crate) last: Option<usize>,
+    /// The output, once there is one.
+    pub(crate) output: Option<TaskOutput>,
+}
+
+/// A submission in hand.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    pub(crate) work: Work,
+    /// The row of its service.
+    pub(crate) service: usize,
+    /// The row of its team in the service's queue.
+    pub(crate) team: usize,
+    /// Its place in the queue: by key, then by order of arrival.
+    pub(crate) rank: (Time, u64),
+    pub(crate) tasks: Vec<Task>,
+    /// Tasks to be started, the next one last.
+    pub(crate) waiting: Vec<u32>,
+    pub(crate) done: u32,
+    /// Attempts at agents now.
+    pub(crate) live: u32,
+    /// The verdict on all attempts that have ended.
+    pub(crate) verdict: Verdict,
+}
+
+impl Submission {
+    /// Returns the verdict on the whole if it were given up now.
+    pub(crate) fn verdict_now(&self) -> Verdict {
+        let running = if self.live > 0 {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        };
+        self.verdict.max(running)
+    }
+}
+
+/// All submissions in hand.
+#[derive(Debug, Default)]
+pub(crate) struct Submissions {
+    rows: Vec<Option<Submission>>,
+    vacant: Vec<SubmissionIndex>,
+    index: FxHashMap<SubmissionId, SubmissionIndex>,
+}
+
+impl Submissions {
+    pub(crate) fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    pub(crate) fn find(&self, id: SubmissionId) -> Option<SubmissionIndex> {
+        self.index.get(&id).copied()
+    }
+
+    pub(crate) fn get(&self, index: SubmissionIndex) -> Option<&Submission> {
+        self.rows.get(index)?.as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, index: SubmissionIndex) -> Option<&mut Submission> {
+        self.rows.get_mut(index)?.as_mut()
+    }
+
+    pub(crate) fn insert(&mut self, submission: Submission) -> SubmissionIndex {
+        let id = submission.work.id;
+        let row = self.vacant.pop().unwrap_or_else(|| {
+            self.rows.push(None);
+            self.rows.len() - 1
+        });
+        self.rows[row] = Some(submission);
+        self.index.insert(id, row);
+        row
+    }
+
+    pub(crate) fn remove(&mut self, index: SubmissionIndex) -> Option<Submission> {
+        let submission = self.rows.get_mut(index)?.take()?;
+        self.index.remove(&submission.work.id);
+        self.vacant.push(index);
+        Some(submission)
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/upkeep.rs
@@ -0,0 +1,68 @@
+//! The system that looks the tables over for what has timed out.
+
+use chervilring_wire::{Failure, Micros, Reason, TaskKey, Time, Verdict};
+
+use super::attempts::Attempt;
+use super::dispatcher::Dispatcher;
+
+/// How often the tables are looked over.
+const SWEEP_SPAN: Micros = Micros::from_millis(100);
+
+impl Dispatcher {
+    /// Ends the submissions whose deadline has come.
+    pub(crate) fn expire(&mut self, now: Time) {
+        while let Some(&(deadline, index)) = self.deadlines.first()
+            && deadline <= now
+        {
+            self.counters.expired += 1;
+            self.give_up(now, index, Reason::Deadline, None);
+        }
+    }
+
+    /// Looks over agents and forgotten attempts.
+    pub(crate) fn sweep(&mut self, now: Time) {
+        self.sweep_at = now + SWEEP_SPAN;
+        self.forget_orphans(now);
+        for agent in 0..self.agents.rows.len() {
+            let row = &mut self.agents.rows[agent];
+            let silence = now.since(row.heard);
+            row.suspect = silence >= self.settings.suspect;
+            let lost = silence >= self.settings.lost || now >= row.back_by;
+            if lost && !row.gone {
+                row.gone = true;
+                self.lose(now, agent);
+            }
+            self.refresh(now, agent);
+        }
+    }
+
+    fn forget_orphans(&mut self, now: Time) {
+        let expired = self.attempts.iter().filter(|(_, a)| a.expiry <= now);
+        let expired: Vec<(TaskKey, Attempt)> = expired.map(|(k, a)| (*k, *a)).collect();
+        for (key, attempt) in expired {
+            self.forget(key, &attempt);
+        }
+    }
+
+    /// Fails all attempts at an agent that was given up.
+    fn lose(&mut self, now: Time, agent: usize) {
+        self.counters.lost += 1;
+        let there = self.attempts.iter().filter(|(_, a)| a.agent == agent);
+        let mut there: Vec<(TaskKey, Attempt)> = there.map(|(k, a)| (*k, *a)).collect();
+        there.sort_unstable_by_key(|(key, _)| *key);
+        let failure = Failure {
+            verdict: Verdict::MayHaveRun,
+            reason: Reason::UpstreamLost,
+            retry: None,
+        };
+        for (key, attempt) in there {
+            if !self.attempts.contains_key(&key) {
+                continue;
+            }
+            self.forget(key, &attempt);
+            if let Some(index) = attempt.submission {
+                self.fail_attempt(now, index, key, &attempt, &failure);
+            }
+        }
+    }
+}
