--- a/crates/chervilring_core/src/dispatch/agents.rs
+++ b/crates/chervilring_core/src/dispatch/agents.rs
@@ -3,6 +3,17 @@
 use chervilring_wire::{AgentId, AgentState, DomainName, Load, Name, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
+/// Whether an agent is thought to be alive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    /// It was heard of lately.
+    Alive,
+    /// It was silent for too long to be given new work.
+    Suspect,
+    /// It was given up.
+    Lost,
+}
+
 /// An agent, as this entry knows it.
 #[derive(Debug)]
 pub(crate) struct AgentRow {
@@ -26,10 +37,8 @@
     pub(crate) back_by: Time,
     /// No new work before this, after a refusal.
     pub(crate) closed: Time,
-    /// Whether it was silent for too long.
-    pub(crate) suspect: bool,
-    /// Whether a later life of it has shown up, or it was given up.
-    pub(crate) gone: bool,
+    /// Whether it is thought to be alive.
+    pub(crate) life: Life,
     /// The lanes it has: row of the service, index in its pool.
     pub(crate) lanes: Vec<(usize, usize)>,
 }
@@ -50,29 +59,24 @@
             heard: now,
             back_by: Time::NEVER,
             closed: Time::default(),
-            suspect: false,
-            gone: false,
+            life: Life::Alive,
             lanes: Vec::new(),
         }
     }
 
     /// Returns whether it may be given work.
     pub(crate) fn usable(&self) -> bool {
-        self.state == AgentState::Ready
-            && self.linked
-            && self.allowed
-            && !self.suspect
-            && !self.gone
+        self.state == AgentState::Ready && self.linked && self.allowed && self.life == Life::Alive
     }
 
     /// Returns why it may not be given work, or that it may.
     pub(crate) fn state_name(&self) -> &'static str {
         match self.state {
-            _ if self.gone => "gone",
+            _ if self.life == Life::Lost => "lost",
             AgentState::Down => "down",
             AgentState::Leaving => "leaving",
             AgentState::Ready if !self.linked => "not-connected",
-            AgentState::Ready if self.suspect => "suspect",
+            AgentState::Ready if self.life == Life::Suspect => "suspect",
             AgentState::Ready if !self.allowed => "not-allowed-yet",
             AgentState::Ready => "ready",
         }
--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 };
 use rustc_hash::FxHashMap;
 
-use super::agents::Agents;
+use super::agents::{Agents, Life};
 use super::attempts::Attempts;
 use super::counters::DispatchCounters;
 use super::policy::Chooser;
@@ -101,7 +101,7 @@
         let agent = self.agents.enter(&announce.agent, now);
         let row = &mut self.agents.rows[agent];
         row.heard = now;
-        row.suspect = false;
+        row.life = Life::Alive;
         row.state = announce.state;
         row.domain = announce.domain.clone();
         if row.services != announce.services || row.labels != announce.labels {
@@ -117,6 +117,7 @@
         let agent = self.agents.enter(agent, now);
         let row = &mut self.agents.rows[agent];
         row.linked = true;
+        row.life = Life::Alive;
         row.heard = now;
         row.back_by = Time::NEVER;
         self.refresh(now, agent);
--- a/crates/chervilring_core/src/dispatch/policy.rs
+++ b/crates/chervilring_core/src/dispatch/policy.rs
@@ -111,7 +111,10 @@
             choose: |pool, chooser, ask| {
                 let open = pool.open(ask.avoid);
                 let least = open.iter().map(|&l| pool.fill(l)).min()?;
-                let ties: Vec<_> = open.into_iter().filter(|&l| pool.fill(l) == least).collect();
+                let ties: Vec<_> = open
+                    .into_iter()
+                    .filter(|&l| pool.fill(l) == least)
+                    .collect();
                 Some(ties[chooser.below(ties.len())])
             },
         }
@@ -129,7 +132,11 @@
                 }
                 let one = open[chooser.below(open.len())];
                 let two = open[chooser.below(open.len())];
-                Some(if pool.fill(two) < pool.fill(one) { two } else { one })
+                Some(if pool.fill(two) < pool.fill(one) {
+                    two
+                } else {
+                    one
+                })
             },
         }
     }
--- a/crates/chervilring_core/src/dispatch/pool.rs
+++ b/crates/chervilring_core/src/dispatch/pool.rs
@@ -44,11 +44,14 @@
     /// promises an earlier finish to the task at the end of the queue.
     pub(crate) fn earliest(&self, ask: Ask) -> Option<usize> {
         let open = self.open(ask.avoid);
-        let best = open.into_iter().min_by(|&a, &b| {
-            self.lanes[a].span.total_cmp(&self.lanes[b].span)
-        })?;
+        let best = open
+            .into_iter()
+            .min_by(|&a, &b| self.lanes[a].span.total_cmp(&self.lanes[b].span))?;
         let span = self.lanes[best].span;
-        let faster = self.lanes.iter().filter(|l| l.usable && l.span < span && l.open == 0);
+        let faster = self
+            .lanes
+            .iter()
+            .filter(|l| l.usable && l.span < span && l.open == 0);
         let ahead: f64 = faster.map(|l| l.mine * (span / l.span - 1.0)).sum();
         (ask.queued as f64 > ahead).then_some(best)
     }
--- a/crates/chervilring_core/src/dispatch/queue.rs
+++ b/crates/chervilring_core/src/dispatch/queue.rs
@@ -35,11 +35,6 @@
         waiting.map(|t| (t.name.clone(), t.tasks)).collect()
     }
 
-    /// Returns how many tasks of one team wait, and how many teams have any.
-    pub(crate) fn share(&self, team: usize) -> (usize, usize) {
-        (self.teams[team].tasks, self.turns.len())
-    }
-
     /// Returns the row of a team.
     pub(crate) fn team(&mut self, name: &TeamName) -> usize {
         if let Some(&row) = self.index.get(name) {
--- a/crates/chervilring_core/src/dispatch/settings.rs
+++ b/crates/chervilring_core/src/dispatch/settings.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Returns the failure domain of the entry.
+    pub fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+
     /// Sets the seed of the generator that breaks ties.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -47,7 +47,10 @@
 
     /// Notes an attempt and returns what the agent is to be sent.
     pub(crate) fn send(&mut self, now: Time, index: usize, task: u32, lane: usize) -> TaskStart {
-        let submission = self.submissions.get_mut(index).expect("the caller found it");
+        let submission = self
+            .submissions
+            .get_mut(index)
+            .expect("the caller found it");
         let service = submission.service;
         let lane_row = &mut self.services[service].pool.lanes[lane];
         let agent = lane_row.agent;
@@ -70,7 +73,6 @@
                 agent,
                 service,
                 lane,
-                sent: now,
                 submission: Some(index),
                 expiry: Time::NEVER,
             },
--- a/crates/chervilring_core/src/dispatch/upkeep.rs
+++ b/crates/chervilring_core/src/dispatch/upkeep.rs
@@ -2,6 +2,7 @@
 
 use chervilring_wire::{Failure, Micros, Reason, TaskKey, Time, Verdict};
 
+use super::agents::Life;
 use super::attempts::Attempt;
 use super::dispatcher::Dispatcher;
 
@@ -26,10 +27,14 @@
         for agent in 0..self.agents.rows.len() {
             let row = &mut self.agents.rows[agent];
             let silence = now.since(row.heard);
-            row.suspect = silence >= self.settings.suspect;
             let lost = silence >= self.settings.lost || now >= row.back_by;
-            if lost && !row.gone {
-                row.gone = true;
+            let known = row.life;
+            row.life = match known {
+                _ if lost => Life::Lost,
+                _ if silence >= self.settings.suspect => Life::Suspect,
+                _ => Life::Alive,
+            };
+            if lost && known != Life::Lost {
                 self.lose(now, agent);
             }
             self.refresh(now, agent);
