Ring record names older rings; heartbeats carry doubts, agents gone and completeness

A ring of which only members and version are known can't be settled by an entry that missed the change: the record now names the replaced rings. Agents that a home uses no more, and ids in doubt after a loss, have to reach the peers as well.

--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -19,7 +19,7 @@
     AgentMessage, AgentState, Announce, AnnounceAck, ConfigBlob, Datagram, EntryMessage, Handover,
     Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
 };
-pub use ring::{Member, Ring};
+pub use ring::{Doubt, Member, OldRing, Ring, home_name};
 pub use submission::{
     Failure, Kind, Origin, Progress, Query, Reason, Reply, Submission, TaskOutcome, TaskOutput,
 };
--- a/crates/chervilring_wire/src/message.rs
+++ b/crates/chervilring_wire/src/message.rs
@@ -7,7 +7,7 @@
     AgentId, DomainName, EntryId, Name, Revision, RingVersion, ServiceName, SubmissionId, TaskKey,
     TeamName, Ticket,
 };
-use crate::ring::Ring;
+use crate::ring::{Doubt, Ring};
 use crate::submission::{Origin, Query, Reply, Submission, TaskOutcome};
 use crate::time::Micros;
 
@@ -179,11 +179,19 @@
     pub ring: Ring,
     /// The configuration the sender has in force.
     pub revision: Revision,
-    /// Ids that the sender started and whose next home is the receiver, since the last heartbeat
-    /// that the receiver confirmed.
+    /// Ids that the sender knows to be started and whose home, or next home after the sender, is
+    /// the receiver, as far as the receiver has not confirmed them.
     pub started: Vec<SubmissionId>,
-    /// Agents to which the sender may start work, once the receiver has confirmed this.
+    /// Agents to which the sender may start work once the receiver has confirmed this, as far as
+    /// the receiver has not confirmed them.
     pub agents: Vec<AgentId>,
+    /// Agents that the sender uses no more; all it started there for the receiver has been told.
+    pub gone: Vec<AgentId>,
+    /// Ids in doubt that the sender knows of and the receiver has not confirmed.
+    pub doubts: Vec<Doubt>,
+    /// Whether the receiver has been told, with this heartbeat, all that was started under the
+    /// sender's ring, but for what the agents have to report.
+    pub whole: bool,
     /// What each team asked of the sender lately, in tasks a second, for sharing out quotas.
     pub demand: Vec<(TeamName, u32)>,
 }
--- a/crates/chervilring_wire/src/ring.rs
+++ b/crates/chervilring_wire/src/ring.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::id::{DomainName, EntryId, RingVersion, SubmissionId};
+use crate::id::{DomainName, EntryId, Name, RingVersion, SubmissionId};
+use crate::time::Stamp;
 
 /// One entry of the ring.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,6 +28,56 @@
     pub settled: RingVersion,
     /// The entries, ordered by name.
     pub members: Vec<Member>,
+    /// Rings before this one, oldest first: all that are not settled and a few more.
+    #[serde(default)]
+    pub older: Vec<OldRing>,
+}
+
+/// A ring that was replaced.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OldRing {
+    /// Its version.
+    pub version: RingVersion,
+    /// Its members, ordered by name.
+    pub members: Vec<EntryId>,
+}
+
+/// Ids of which a lost home may have started some that nobody has a record of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    /// The names of the members of the ring that the home was lost from; empty for any ring.
+    pub old: Vec<Name>,
+    /// The lost home; empty for any home but the taker.
+    pub home: Name,
+    /// The names of the members of the ring that followed.
+    pub new: Vec<Name>,
+    /// The home that took over the ids in doubt.
+    pub taker: Name,
+    /// Ids stamped well after this are not in doubt.
+    pub until: Stamp,
+}
+
+impl Doubt {
+    /// Returns whether the id moved from the lost home to the taker.
+    pub fn covers(&self, id: SubmissionId) -> bool {
+        if self.old.is_empty() {
+            return true;
+        }
+        let Some(home) = home_name(&self.old, id) else {
+            return true;
+        };
+        let lost = if self.home.is_empty() {
+            *home != self.taker
+        } else {
+            *home == self.home
+        };
+        lost && home_name(&self.new, id) == Some(&self.taker)
+    }
+}
+
+/// Returns the name with the highest rendezvous score for a submission.
+pub fn home_name(names: &[Name], id: SubmissionId) -> Option<&Name> {
+    names.iter().max_by_key(|name| score(name, id))
 }
 
 impl Ring {
@@ -34,13 +85,13 @@
     ///
     /// The score depends on the entry's name alone, so that an entry that restarts keeps its ids.
     pub fn home(&self, id: SubmissionId) -> Option<&Member> {
-        self.members.iter().max_by_key(|m| score(&m.entry, id))
+        self.members.iter().max_by_key(|m| score(&m.entry.name, id))
     }
 
     /// Returns the member that becomes the home once `leaver` is gone.
     pub fn next_home(&self, id: SubmissionId, leaver: &EntryId) -> Option<&Member> {
         let rest = self.members.iter().filter(|m| m.entry != *leaver);
-        rest.max_by_key(|m| score(&m.entry, id))
+        rest.max_by_key(|m| score(&m.entry.name, id))
     }
 
     /// Returns the member of this name, in whichever life it joined.
@@ -59,7 +110,7 @@
     }
 }
 
-fn score(entry: &EntryId, id: SubmissionId) -> u64 {
+fn score(name: &str, id: SubmissionId) -> u64 {
     let seed = (id.0 >> 64) as u64 ^ id.0 as u64;
-    xxh3_64_with_seed(entry.name.as_bytes(), seed)
+    xxh3_64_with_seed(name.as_bytes(), seed)
 }
