Add settings, logs, metrics and the callers' HTTP interface

Answers of one connection leave in order without blocking a thread, because a request sent before the previous answer is parked. Not measured and not tested yet.

--- a/crates/chervilring_daemon/src/http/mod.rs
+++ b/crates/chervilring_daemon/src/http/mod.rs
@@ -1,1 +1,28 @@
 //! HTTP towards callers, upstreams and operators.
+//!
+//! [`Server`] carries HTTP for any daemon: it accepts, keeps slow clients away from others and
+//! hands each request over as a [`Call`]. [`CallerApi`] is the interface of an entry towards its
+//! callers, built on it.
+//!
+//! `tiny_http` takes one thread for each open connection and keeps it until the connection is
+//! closed. An idle connection is closed after [`ServerSettings::idle`]. No further thread waits
+//! for a caller: an unanswered call is an entry of a table.
+
+mod answer;
+mod api;
+mod body;
+mod call;
+mod connections;
+mod health;
+mod job;
+mod pool;
+mod problem;
+mod request;
+mod route;
+mod server;
+
+pub use api::{CallerApi, CallerEvent, CallerSettings};
+pub use call::{Answer, Call};
+pub use health::Health;
+pub use problem::Problem;
+pub use server::{Server, ServerSettings};
--- /dev/null
+++ b/crates/chervilring_daemon/src/settings/entry.rs
@@ -0,0 +1,214 @@
+//! Settings of an entry.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use chervilring_wire::{DomainName, Micros, Name};
+use slog::Level;
+
+use super::common::{self, CommonSettings};
+use super::parse::{self, SettingError};
+use super::source::Source;
+use crate::log::LogFormat;
+
+const DEFAULT_PREFIX: &str = "/chervilring/";
+const DEFAULT_LEASE: Micros = Micros::from_secs(5);
+const DEFAULT_AUTHORITY: Micros = Micros::from_secs(3);
+const DEFAULT_SKEW: Micros = Micros::from_secs(2);
+const DEFAULT_BODY: u64 = 16 << 20;
+const DEFAULT_CALLERS: u64 = 10_000;
+const DEFAULT_ANSWERS: u64 = 256 << 20;
+
+/// Body limits above this do not fit into a frame between processes.
+const MAX_BODY: u64 = 60 << 20;
+
+/// The settings of an entry, checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// The name, unique among entries and kept over restarts.
+    pub name: Name,
+    /// The failure domain that the entry stands in.
+    pub domain: DomainName,
+    /// Where callers and operators reach it over HTTP.
+    pub http: SocketAddr,
+    /// Where peers and agents reach it over TCP and UDP.
+    pub peer: SocketAddr,
+    /// The peer address as others see it, where it differs from `peer`.
+    pub advertise: Option<SocketAddr>,
+    /// Base URLs of the platform's store.
+    pub store: Vec<Name>,
+    /// What all keys in the store start with.
+    pub prefix: Name,
+    /// How long the entry's lease in the store lasts without renewal.
+    pub lease: Micros,
+    /// How long the entry may start work after its authority was last confirmed.
+    pub authority: Micros,
+    /// How far wall clocks of callers and entries may differ.
+    pub skew: Micros,
+    /// How long ids and answers are remembered.
+    pub window: Micros,
+    /// Ids without a stamp that are remembered at once.
+    pub ids: u64,
+    /// Bytes of answers that are kept for callers who come back.
+    pub answers: u64,
+    /// The longest body of a request or job, in bytes.
+    pub body: u64,
+    /// Callers that may wait for an answer at once.
+    pub callers: u64,
+    /// How long a planned stop waits for work in flight.
+    pub stop: Micros,
+    /// How log lines are written.
+    pub format: LogFormat,
+    /// The least severe level that is logged.
+    pub level: Level,
+}
+
+impl EntrySettings {
+    /// Starts to build the settings of an entry.
+    pub fn builder(name: &str, domain: &str) -> EntrySettingsBuilder {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let common = CommonSettings::default();
+        EntrySettingsBuilder {
+            settings: Self {
+                name: name.into(),
+                domain: domain.into(),
+                http: any,
+                peer: any,
+                advertise: None,
+                store: Vec::new(),
+                prefix: DEFAULT_PREFIX.into(),
+                lease: DEFAULT_LEASE,
+                authority: DEFAULT_AUTHORITY,
+                skew: DEFAULT_SKEW,
+                window: common.window,
+                ids: common.ids,
+                answers: DEFAULT_ANSWERS,
+                body: DEFAULT_BODY,
+                callers: DEFAULT_CALLERS,
+                stop: common.stop,
+                format: common.format,
+                level: common.level,
+            },
+        }
+    }
+
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting that is missing or has a value that is not allowed.
+    pub fn read(source: &Source) -> Result<Self, SettingError> {
+        let common = CommonSettings::read(source)?;
+        let mut builder = Self::builder(&common.name, &common.domain);
+        let settings = &mut builder.settings;
+        settings.window = common.window;
+        settings.ids = common.ids;
+        settings.stop = common.stop;
+        settings.format = common.format;
+        settings.level = common.level;
+        if let Some(text) = source.get("http")? {
+            settings.http = parse::addr("http", text)?;
+        }
+        if let Some(text) = source.get("peer")? {
+            settings.peer = parse::addr("peer", text)?;
+        }
+        if let Some(text) = source.get("advertise")? {
+            settings.advertise = Some(parse::addr("advertise", text)?);
+        }
+        if let Some(text) = source.get("store")? {
+            settings.store = parse::urls("store", text)?;
+        }
+        if let Some(text) = source.get("prefix")? {
+            settings.prefix = parse::name("prefix", text)?;
+        }
+        read_spans(source, settings)?;
+        read_limits(source, settings)?;
+        builder.build()
+    }
+}
+
+/// Builds [`EntrySettings`].
+#[derive(Debug, Clone)]
+pub struct EntrySettingsBuilder {
+    settings: EntrySettings,
+}
+
+impl EntrySettingsBuilder {
+    /// Sets the HTTP address.
+    pub fn http(mut self, addr: SocketAddr) -> Self {
+        self.settings.http = addr;
+        self
+    }
+
+    /// Sets the address for peers and agents.
+    pub fn peer(mut self, addr: SocketAddr) -> Self {
+        self.settings.peer = addr;
+        self
+    }
+
+    /// Adds a base URL of the store.
+    pub fn store(mut self, url: &str) -> Self {
+        self.settings.store.push(url.into());
+        self
+    }
+
+    /// Sets how long the lease lasts and for how long authority holds.
+    pub fn lease(mut self, lease: Micros, authority: Micros) -> Self {
+        self.settings.lease = lease;
+        self.settings.authority = authority;
+        self
+    }
+
+    /// Checks the settings against each other and returns them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first setting whose value is not allowed.
+    pub fn build(self) -> Result<EntrySettings, SettingError> {
+        let settings = self.settings;
+        parse::name("name", &settings.name)?;
+        parse::name("domain", settings.domain.as_str())?;
+        if settings.store.is_empty() {
+            return Err(SettingError::missing(
+                "store",
+                "one or more URLs, such as http://10.1.2.3:2379",
+            ));
+        }
+        if settings.authority > settings.lease {
+            let value = format!("{}ms", settings.authority.as_millis());
+            let allowed = format!(
+                "at most the lease, which is {}ms",
+                settings.lease.as_millis()
+            );
+            return Err(SettingError::new("authority", &value, allowed));
+        }
+        if settings.peer.ip().is_unspecified() && settings.advertise.is_none() {
+            return Err(SettingError::missing(
+                "advertise",
+                "the address at which others reach this entry, since `peer` stands for all \
+                 addresses of the host",
+            ));
+        }
+        Ok(settings)
+    }
+}
+
+fn read_spans(source: &Source, settings: &mut EntrySettings) -> Result<(), SettingError> {
+    let (second, minute) = (Micros::from_secs(1), Micros::from_secs(60));
+    if let Some(text) = source.get("lease")? {
+        settings.lease = parse::span("lease", text, second, minute)?;
+    }
+    if let Some(text) = source.get("authority")? {
+        let least = Micros::from_millis(500);
+        settings.authority = parse::span("authority", text, least, minute)?;
+    }
+    if let Some(text) = source.get("skew")? {
+        settings.skew = parse::span("skew", text, Micros(0), minute)?;
+    }
+    Ok(())
+}
+
+fn read_limits(source: &Source, settings: &mut EntrySettings) -> Result<(), SettingError> {
+    common::read_number(source, "answers", 1 << 20, 1 << 36, &mut settings.answers)?;
+    common::read_number(source, "body", 1 << 10, MAX_BODY, &mut settings.body)?;
+    common::read_number(source, "callers", 1, 1_000_000, &mut settings.callers)
+}
