--- /dev/null
+++ b/crates/chervilring_dev/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! The commands.
+
+pub(crate) mod platform;
--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -1,2 +1,26 @@
-//! Placeholder.
-fn main() {}
+//! Tools of the project's developers.
+
+mod commands;
+
+use argh::FromArgs;
+use commands::platform::PlatformArgs;
+
+/// stand-ins, trace replay and the demo of chervilring
+#[derive(Debug, FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Platform(PlatformArgs),
+}
+
+fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    match &args.command {
+        Command::Platform(args) => commands::platform::run(args),
+    }
+}
