--- /dev/null
+++ b/crates/chervilring_core/src/membership/change.rs
@@ -0,0 +1,76 @@
+//! The next ring after a change.
+
+use chervilring_wire::{EntryId, Member, Name, OldRing, Ring, RingVersion};
+
+use super::times::{OLDER_KEPT, OLDER_LIMIT};
+
+/// Returns the first ring, with one member.
+pub(crate) fn first(member: &Member) -> Ring {
+    Ring {
+        version: RingVersion(1),
+        settled: RingVersion(1),
+        members: vec![member.clone()],
+        older: Vec::new(),
+    }
+}
+
+/// Returns the ring with other members, as the one after `ring`.
+pub(crate) fn replace(ring: &Ring, mut members: Vec<Member>) -> Ring {
+    members.sort_unstable_by(|a, b| a.entry.cmp(&b.entry));
+    let mut older = ring.older.clone();
+    older.push(OldRing {
+        version: ring.version,
+        members: ids(ring),
+    });
+    let spare = older.len().saturating_sub(OLDER_KEPT);
+    let settled = older.iter().take(spare);
+    let drop = settled.take_while(|old| old.version < ring.settled).count();
+    older.drain(..drop);
+    Ring {
+        version: RingVersion(ring.version.0 + 1),
+        settled: ring.settled,
+        members,
+        older,
+    }
+}
+
+/// Returns the ring with all older ones out of force.
+pub(crate) fn settle(ring: &Ring) -> Ring {
+    Ring {
+        settled: ring.version,
+        ..ring.clone()
+    }
+}
+
+/// Returns whether another ring may be put before the older ones are settled.
+pub(crate) fn room(ring: &Ring) -> bool {
+    ((ring.version.0 - ring.settled.0) as usize) < OLDER_LIMIT
+}
+
+/// Returns the ids of a ring's members.
+pub(crate) fn ids(ring: &Ring) -> Vec<EntryId> {
+    ring.members.iter().map(|m| m.entry.clone()).collect()
+}
+
+/// Returns the names of entries.
+pub(crate) fn names(entries: &[EntryId]) -> Vec<Name> {
+    entries.iter().map(|e| e.name.clone()).collect()
+}
+
+/// Returns the known rings from `old` to `new`, oldest first.
+pub(crate) fn chain(old: &Ring, new: &Ring) -> Vec<OldRing> {
+    let mut chain = Vec::new();
+    if old.version.0 > 0 {
+        chain.push(OldRing {
+            version: old.version,
+            members: ids(old),
+        });
+    }
+    let between = new.older.iter().filter(|r| r.version > old.version);
+    chain.extend(between.cloned());
+    chain.push(OldRing {
+        version: new.version,
+        members: ids(new),
+    });
+    chain
+}
--- /dev/null
+++ b/crates/chervilring_core/src/membership/source.rs
@@ -0,0 +1,151 @@
+//! Former homes of ids that are now at home here.
+
+use chervilring_wire::{AgentId, Doubt, EntryId, Name, RingVersion, SubmissionId, Time, home_name};
+use rustc_hash::FxHashMap;
+
+use super::homes::Home;
+use super::rules::Rules;
+use super::times::{HANDOVER_GRACE, REPORT_GRACE};
+
+/// What is known of the ids that moved here from one former home.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum State {
+    /// Not known yet which of them were started.
+    Pending,
+    /// Some may have been started without a record.
+    Doubtful,
+    /// All that were started are known.
+    Clear,
+}
+
+/// The move of ids from a former home to this entry.
+#[derive(Debug)]
+pub(crate) struct Source {
+    /// The names of the members of the ring that they moved from.
+    pub(crate) old: Vec<Name>,
+    /// The former home; any when the rings between are not known.
+    pub(crate) home: Option<EntryId>,
+    /// The names of the members of the ring that they moved to.
+    pub(crate) new: Vec<Name>,
+    /// The ring that they moved to.
+    pub(crate) version: RingVersion,
+    /// Whether the former home is a member of that ring as well.
+    pub(crate) living: bool,
+    /// When this entry adopted the ring.
+    pub(crate) since: Time,
+    /// When this entry may begin with them.
+    pub(crate) ready: Option<Time>,
+    /// What is known of them.
+    pub(crate) state: State,
+}
+
+/// What a source is judged by.
+#[derive(Debug)]
+pub(crate) struct Evidence<'a> {
+    pub(crate) now: Time,
+    pub(crate) ring: RingVersion,
+    pub(crate) member: bool,
+    pub(crate) home: Option<&'a Home>,
+    pub(crate) reports: &'a FxHashMap<AgentId, RingVersion>,
+    pub(crate) rules: Rules,
+}
+
+impl Source {
+    /// Returns whether an id moved from the former home to `own`.
+    pub(crate) fn covers(&self, id: SubmissionId, own: &Name) -> bool {
+        if home_name(&self.new, id) != Some(own) {
+            return false;
+        }
+        let former = home_name(&self.old, id);
+        match &self.home {
+            Some(home) => former == Some(&home.name),
+            None => former != Some(own),
+        }
+    }
+
+    /// Returns the doubt that a lost home leaves.
+    pub(crate) fn doubt(&self, own: &Name, until: chervilring_wire::Stamp) -> Doubt {
+        let home = self.home.as_ref().map(|e| e.name.clone());
+        Doubt {
+            old: self.old.clone(),
+            home: home.unwrap_or_else(|| "".into()),
+            new: self.new.clone(),
+            taker: own.clone(),
+            until,
+        }
+    }
+
+    /// Judges by the evidence what is known of the ids.
+    pub(crate) fn judge(&self, evidence: &Evidence) -> State {
+        if self.living && self.told_living(evidence) {
+            return State::Clear;
+        }
+        if evidence.member {
+            return State::Pending;
+        }
+        if self.handed_over(evidence) {
+            return State::Clear;
+        }
+        let Some(ready) = self.ready.filter(|ready| *ready <= evidence.now) else {
+            return State::Pending;
+        };
+        if !evidence.rules.reports || self.accounted(evidence) {
+            return State::Clear;
+        }
+        if evidence.now < ready + REPORT_GRACE {
+            return State::Pending;
+        }
+        State::Doubtful
+    }
+
+    /// Returns when a pending source is to be judged again, if nothing comes in before.
+    pub(crate) fn wake_at(&self, home: Option<&Home>) -> Time {
+        if self.state != State::Pending {
+            return Time::NEVER;
+        }
+        let told = home.and_then(|h| h.whole);
+        let living = told.map_or(Time::NEVER, |(_, since)| since + HANDOVER_GRACE);
+        let lost = self.ready.map_or(Time::NEVER, |ready| ready + REPORT_GRACE);
+        living.min(lost).min(self.ready.unwrap_or(Time::NEVER))
+    }
+
+    /// Returns whether the living home has told all, and handed over or failed to in time.
+    fn told_living(&self, evidence: &Evidence) -> bool {
+        if !evidence.rules.handover {
+            return true;
+        }
+        let Some(home) = evidence.home else {
+            return false;
+        };
+        let handed = home.handed >= Some(self.version);
+        home.whole.is_some_and(|(version, since)| {
+            let late = evidence.now >= since + HANDOVER_GRACE;
+            version >= self.version && (handed || late || !evidence.member)
+        })
+    }
+
+    /// Returns whether the home left in a planned stop, with a hand-over under this very ring.
+    fn handed_over(&self, evidence: &Evidence) -> bool {
+        let before = RingVersion(self.version.0 - 1);
+        evidence
+            .home
+            .is_some_and(|home| home.handed == Some(self.version) && home.told() >= Some(before))
+    }
+
+    /// Returns whether the home had told all but what its agents have reported since.
+    fn accounted(&self, evidence: &Evidence) -> bool {
+        let Some(home) = evidence.home else {
+            return !evidence.rules.whole;
+        };
+        let before = RingVersion(self.version.0 - 1);
+        if evidence.rules.whole && home.told() < Some(before) {
+            return false;
+        }
+        home.agents.iter().all(|agent| {
+            let report = evidence.reports.get(agent);
+            report.is_some_and(|ring| {
+                *ring >= self.version && (*ring <= evidence.ring || !evidence.rules.bound)
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -0,0 +1,416 @@
+//! The membership's tables and the systems that run over them each tick.
+
+use std::collections::BTreeMap;
+
+use chervilring_wire::{
+    AgentId, Doubt, EntryId, Handover, Micros, Name, Now, Reply, Revision, Ring, RingVersion,
+    Stamp, SubmissionId, TeamName, Ticket, Time, Verdict,
+};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use super::authority::Authority;
+use super::homes::Homes;
+use super::known::Known;
+use super::peer::Peer;
+use super::presence::Presence;
+use super::settings::MemberSettings;
+use super::settle::Settle;
+use super::source::{Evidence, Source, State};
+use super::step::{MemberStatus, MemberStep, PeerStatus, Place, Standing};
+use super::times::{DOUBT_LIMIT, DRIFT, HEARTBEAT, RENEW_SOON};
+use super::usage::Usage;
+
+/// What the entry is in the ring.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Not a member yet.
+    Joining,
+    /// A member.
+    Member,
+    /// A member that stops; since when.
+    Leaving(Time),
+    /// No member any more, after a planned stop that began then.
+    Out(Time),
+    /// No member any more, or replaced by a later life.
+    Evicted,
+    /// The planned stop is done.
+    Left,
+}
+
+/// The part of an entry that agrees with the others on who starts what.
+#[derive(Debug)]
+pub struct Membership {
+    pub(crate) settings: MemberSettings,
+    pub(crate) own: EntryId,
+    pub(crate) ring: Ring,
+    pub(crate) phase: Phase,
+    pub(crate) authority: Authority,
+    pub(crate) presence: Presence,
+    pub(crate) settle: Settle,
+    pub(crate) peers: BTreeMap<EntryId, Peer>,
+    pub(crate) up: FxHashSet<EntryId>,
+    pub(crate) homes: Homes,
+    pub(crate) sources: Vec<Source>,
+    pub(crate) doubts: Vec<Doubt>,
+    pub(crate) known: Known,
+    pub(crate) usage: Usage,
+    pub(crate) reports: FxHashMap<AgentId, RingVersion>,
+    pub(crate) demand: Vec<(TeamName, u32)>,
+    pub(crate) revision: Revision,
+    pub(crate) steps: Vec<MemberStep>,
+    pub(crate) ticket: Ticket,
+    pub(crate) calling: bool,
+    pub(crate) proposed: Option<Ring>,
+    pub(crate) released: bool,
+    pub(crate) renew: Time,
+    pub(crate) last: Time,
+    pub(crate) awake: Option<Time>,
+    pub(crate) offset: u64,
+}
+
+impl Membership {
+    /// Creates the membership of an entry that has not joined a ring yet.
+    pub fn new(settings: MemberSettings, now: Now) -> Self {
+        let own = settings.member.entry.clone();
+        let known = Known::new(settings.window, settings.unstamped);
+        let mut settle = Settle::default();
+        settle.lives(&own);
+        Self {
+            settings,
+            own,
+            ring: Ring::default(),
+            phase: Phase::Joining,
+            authority: Authority::default(),
+            presence: Presence::default(),
+            settle,
+            peers: BTreeMap::new(),
+            up: FxHashSet::default(),
+            homes: Homes::default(),
+            sources: Vec::new(),
+            doubts: Vec::new(),
+            known,
+            usage: Usage::default(),
+            reports: FxHashMap::default(),
+            demand: Vec::new(),
+            revision: Revision::default(),
+            steps: Vec::new(),
+            ticket: Ticket(0),
+            calling: false,
+            proposed: None,
+            released: false,
+            renew: now.mono,
+            last: now.mono,
+            awake: Some(now.mono),
+            offset: offset(now),
+        }
+    }
+
+    /// Returns the newest ring that the entry knows.
+    pub fn ring(&self) -> &Ring {
+        &self.ring
+    }
+
+    /// Runs what is due.
+    pub fn tick(&mut self, now: Now) {
+        self.observe(now);
+        self.judge(now.mono);
+        self.call_store(now.mono);
+        self.beat(now.mono);
+        self.finish(now.mono);
+    }
+
+    /// Returns when [`Self::tick`] is due without further events.
+    pub fn wake_at(&self) -> Time {
+        let beats = self.peers.values().filter(|p| p.up).map(|p| p.beat);
+        let sources = self.sources.iter().map(|s| {
+            let home = s.home.as_ref().and_then(|home| self.homes.get(home));
+            s.wake_at(home).max(self.last + Micros(1))
+        });
+        let renew = match self.phase {
+            _ if self.calling => Time::NEVER,
+            Phase::Left | Phase::Evicted => Time::NEVER,
+            _ => self.renew,
+        };
+        let ready = self.settle.ready().filter(|ready| *ready > self.last);
+        let limit = match self.phase {
+            Phase::Leaving(since) | Phase::Out(since) => since + super::times::LEAVE_LIMIT,
+            _ => Time::NEVER,
+        };
+        let rest = [renew, ready.unwrap_or(Time::NEVER), limit];
+        let all = beats.chain(sources).chain(rest);
+        all.min().unwrap_or(Time::NEVER)
+    }
+
+    /// Returns until when the entry may start work; `None` when it may not.
+    pub fn authority(&self, now: Now) -> Option<Time> {
+        if self.phase != Phase::Member || !self.ring.contains(&self.own) {
+            return None;
+        }
+        if !self.settings.rules.expire {
+            return self
+                .authority
+                .since(now.mono, &self.ring)
+                .map(|_| Time::NEVER);
+        }
+        self.authority
+            .until(now.mono, &self.ring, self.settings.authority)
+    }
+
+    /// Returns where an id is at home.
+    pub fn place(&self, id: SubmissionId) -> Place {
+        match self.ring.home(id) {
+            None => Place::Nowhere,
+            Some(home) if home.entry == self.own => Place::Here,
+            Some(home) => Place::At(home.clone()),
+        }
+    }
+
+    /// Returns what is known of an id that is at home here and not in the entry's own table.
+    pub fn standing(&self, now: Now, id: SubmissionId) -> Standing {
+        if self.known.contains(id) {
+            return Standing::MayHaveRun;
+        }
+        let mut doubtful = false;
+        for source in self.sources.iter().filter(|s| s.covers(id, &self.own.name)) {
+            let ready = source.ready.filter(|ready| *ready <= now.mono);
+            let stamped = ready.is_some_and(|ready| {
+                let start = if self.settings.rules.stamp {
+                    ready
+                } else {
+                    source.since
+                };
+                self.stamped_after(id, self.stamp(start))
+            });
+            match source.state {
+                State::Clear => {}
+                _ if stamped && !source.living => {}
+                State::Doubtful => doubtful = true,
+                State::Pending => return Standing::Wait(self.look_again(now.mono, source)),
+            }
+        }
+        let mut doubts = self.doubts.iter();
+        if doubts.any(|d| d.covers(id) && !self.stamped_after(id, d.until)) {
+            doubtful = true;
+        }
+        if doubtful {
+            return Standing::MayHaveRun;
+        }
+        Standing::Fresh
+    }
+
+    /// Notes that the entry has taken an id on: from now on it may be started.
+    pub fn record_started(&mut self, id: SubmissionId) {
+        self.learn(id);
+    }
+
+    /// Takes in ids that a living home hands over.
+    pub fn handed_over(&mut self, now: Now, from: &EntryId, handover: &Handover) {
+        self.observe(now);
+        for (id, _, reply) in &handover.ended {
+            let not_run = matches!(reply, Reply::Failed(f) if f.verdict == Verdict::NotRun);
+            if !not_run {
+                self.learn(*id);
+            }
+        }
+        if !handover.more {
+            self.homes.handed(from, handover.ring);
+        }
+        self.judge(now.mono);
+    }
+
+    /// Sets what each team asked of this entry lately, for the heartbeats.
+    pub fn set_demand(&mut self, demand: Vec<(TeamName, u32)>) {
+        self.demand = demand;
+    }
+
+    /// Sets the configuration in force, for the heartbeats.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = revision;
+    }
+
+    /// Takes an operator's word that an entry of the ring is dead and will not come back: it is
+    /// evicted, and counted as one that confirms no ring any more.
+    pub fn declare_dead(&mut self, now: Now, name: &Name) {
+        self.observe(now);
+        let older = self.ring.older.iter().flat_map(|old| old.members.iter());
+        let all = older.chain(self.ring.members.iter().map(|m| &m.entry));
+        let dead: Vec<EntryId> = all
+            .filter(|e| e.name == *name && **e != self.own && !self.up.contains(e))
+            .cloned()
+            .collect();
+        for entry in &dead {
+            self.settle.declare(entry);
+        }
+        self.renew = now.mono;
+        self.judge(now.mono);
+    }
+
+    /// Takes an operator's word that no id of before will be submitted again: ids in doubt count
+    /// as new from now on.
+    pub fn clear_doubts(&mut self, now: Now) {
+        self.observe(now);
+        self.doubts.clear();
+        self.sources.retain(|s| s.state != State::Doubtful);
+    }
+
+    /// Drains the steps to be carried out.
+    pub fn drain(&mut self) -> Vec<MemberStep> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Returns the state, for `status`.
+    pub fn status(&self, now: Now) -> MemberStatus {
+        let others = self.ring.members.iter().filter(|m| m.entry != self.own);
+        let peers = others.map(|m| PeerStatus {
+            name: m.entry.name.clone(),
+            domain: m.domain.0.clone(),
+            up: self.up.contains(&m.entry),
+            ring: self.settle.version(&m.entry),
+            backlog: self.peers.get(&m.entry).map_or(0, Peer::backlog),
+        });
+        let (agents, allowed) = self.usage.count();
+        MemberStatus {
+            phase: match self.phase {
+                Phase::Joining => "joining",
+                Phase::Member => "member",
+                Phase::Leaving(_) | Phase::Out(_) => "leaving",
+                Phase::Evicted => "evicted",
+                Phase::Left => "left",
+            },
+            ring: self.ring.version,
+            settled: self.ring.settled,
+            authority: self
+                .authority(now)
+                .map(|until| now.mono.until(until).as_millis()),
+            peers: peers.collect(),
+            sources: self.sources.len(),
+            doubts: self.doubts.len(),
+            started: self.known.len(),
+            agents,
+            allowed,
+        }
+    }
+
+    /// Notes the time of an event: a long gap means that the process was paused.
+    pub(crate) fn observe(&mut self, now: Now) {
+        if now.mono.since(self.last) >= self.settings.authority {
+            self.awake = None;
+        }
+        self.last = now.mono;
+        self.offset = self.offset.max(offset(now));
+        let skew = 2 * self.settings.skew.as_millis();
+        self.known.expire(Stamp(now.wall.0.saturating_sub(skew)));
+    }
+
+    /// Returns whether the entry may confirm a ring: a paused one first has to hear from the
+    /// store, or from a majority without itself.
+    pub(crate) fn may_confirm(&mut self, now: Time) -> bool {
+        if self.awake.is_none() && self.settings.rules.awake {
+            let since = self
+                .authority
+                .majority(now, &self.ring, self.ring.majority());
+            let caught = since.is_some_and(|since| now.since(since) < self.settings.authority);
+            self.awake = caught.then_some(now);
+            return caught;
+        }
+        true
+    }
+
+    /// Judges the former homes of ids that moved here.
+    pub(crate) fn judge(&mut self, now: Time) {
+        let rules = self.settings.rules;
+        let wait = if rules.wait {
+            self.settings.authority + DRIFT
+        } else {
+            Micros(0)
+        };
+        self.settle.update(now, &self.ring, wait, rules.block);
+        if self.may_settle(now) {
+            self.renew = self.renew.min(now + RENEW_SOON);
+        }
+        let mut doubts = Vec::new();
+        let until = |ready: Time| stamp_at(ready, self.offset);
+        for source in &mut self.sources {
+            source.ready = source.ready.or(self.settle.ready());
+            if source.state == State::Clear {
+                continue;
+            }
+            let home = source.home.as_ref();
+            let state = source.judge(&Evidence {
+                now,
+                ring: self.ring.version,
+                member: home.is_some_and(|home| self.ring.contains(home)),
+                home: home.and_then(|home| self.homes.get(home)),
+                reports: &self.reports,
+                rules,
+            });
+            if state == State::Doubtful && source.state == State::Pending {
+                let ready = source.ready.unwrap_or(now);
+                doubts.push(source.doubt(&self.own.name, until(ready)));
+            }
+            source.state = state;
+        }
+        self.sources.retain(|s| s.state != State::Clear);
+        for doubt in doubts {
+            self.tell_doubt(&doubt);
+        }
+        self.merge_doubtful();
+    }
+
+    /// Turns the oldest doubtful sources into doubts when there are too many of them.
+    fn merge_doubtful(&mut self) {
+        let doubtful = |s: &Source| s.state == State::Doubtful;
+        while self.sources.iter().filter(|s| doubtful(s)).count() > DOUBT_LIMIT {
+            let Some(oldest) = self.sources.iter().position(doubtful) else {
+                return;
+            };
+            let source = self.sources.remove(oldest);
+            let until = self.stamp(source.ready.unwrap_or(self.last));
+            self.add_doubt(&source.doubt(&self.own.name, until));
+        }
+    }
+
+    /// Adds an id to those known to be started; if it is at home here, its next home is told.
+    pub(crate) fn learn(&mut self, id: SubmissionId) {
+        if !self.known.insert(id) || !self.at_home(id) {
+            return;
+        }
+        let Some(next) = self.ring.next_home(id, &self.own) else {
+            return;
+        };
+        if let Some(peer) = self.peers.get_mut(&next.entry) {
+            peer.ids.push(id);
+        }
+    }
+
+    pub(crate) fn at_home(&self, id: SubmissionId) -> bool {
+        self.ring.home(id).is_some_and(|m| m.entry == self.own)
+    }
+
+    /// Returns the wall-clock time of a point of the monotonic clock, rather late than early.
+    pub(crate) fn stamp(&self, time: Time) -> Stamp {
+        stamp_at(time, self.offset)
+    }
+
+    /// Returns whether an id was made after a point of wall-clock time, however wrong the clocks.
+    fn stamped_after(&self, id: SubmissionId, until: Stamp) -> bool {
+        let skew = 2 * self.settings.skew.as_millis();
+        id.stamp().is_some_and(|stamp| stamp.0 > until.0 + skew)
+    }
+
+    fn look_again(&self, now: Time, source: &Source) -> Time {
+        let home = source.home.as_ref().and_then(|home| self.homes.get(home));
+        let next = now + HEARTBEAT;
+        let wake = source.wake_at(home);
+        if wake > now { wake.min(next) } else { next }
+    }
+}
+
+/// Returns by how much the wall clock is ahead of the monotonic one, in microseconds.
+fn offset(now: Now) -> u64 {
+    (now.wall.0.saturating_add(1) * 1_000).saturating_sub(now.mono.0)
+}
+
+fn stamp_at(time: Time, offset: u64) -> Stamp {
+    Stamp(time.0.saturating_add(offset).div_ceil(1_000))
+}
