--- a/crates/chervilring/src/main.rs
+++ b/crates/chervilring/src/main.rs
@@ -1,2 +1,7 @@
-//! Placeholder.
-fn main() {}
+//! The `chervilring` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chervilring::main()
+}
--- a/crates/chervilring_daemon/src/settings/agent.rs
+++ b/crates/chervilring_daemon/src/settings/agent.rs
@@ -1,5 +1,6 @@
 //! Settings of an agent.
 
+use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use chervilring_wire::{DomainName, Micros, Name};
@@ -7,6 +8,7 @@
 
 use super::common::CommonSettings;
 use super::parse::{self, SettingError};
+use super::show::{show, span};
 use super::source::Source;
 use crate::log::LogFormat;
 
@@ -141,3 +143,22 @@
         Ok(settings)
     }
 }
+
+impl fmt::Display for AgentSettings {
+    /// Writes one line for each setting, as an assignment of its environment variable.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut show = |setting, value: &dyn fmt::Display| show(f, setting, value);
+        let entries: Vec<String> = self.entries.iter().map(ToString::to_string).collect();
+        show("name", &self.name)?;
+        show("domain", &self.domain)?;
+        show("http", &self.http)?;
+        show("udp", &self.udp)?;
+        show("entries", &entries.join(","))?;
+        show("labels", &self.labels.join(","))?;
+        show("window", &span(self.window))?;
+        show("ids", &self.ids)?;
+        show("stop", &span(self.stop))?;
+        show("log-format", &self.format)?;
+        show("log-level", &self.level.as_str().to_ascii_lowercase())
+    }
+}
--- a/crates/chervilring_daemon/src/settings/entry.rs
+++ b/crates/chervilring_daemon/src/settings/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry.
 
+use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 
 use chervilring_wire::{DomainName, Micros, Name};
@@ -7,6 +8,7 @@
 
 use super::common::{self, CommonSettings};
 use super::parse::{self, SettingError};
+use super::show::{show, span};
 use super::source::Source;
 use crate::log::LogFormat;
 
@@ -212,3 +214,30 @@
     common::read_number(source, "body", 1 << 10, MAX_BODY, &mut settings.body)?;
     common::read_number(source, "callers", 1, 1_000_000, &mut settings.callers)
 }
+
+impl fmt::Display for EntrySettings {
+    /// Writes one line for each setting, as an assignment of its environment variable.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut show = |setting, value: &dyn fmt::Display| show(f, setting, value);
+        show("name", &self.name)?;
+        show("domain", &self.domain)?;
+        show("http", &self.http)?;
+        show("peer", &self.peer)?;
+        if let Some(advertise) = &self.advertise {
+            show("advertise", advertise)?;
+        }
+        show("store", &self.store.join(","))?;
+        show("prefix", &self.prefix)?;
+        show("lease", &span(self.lease))?;
+        show("authority", &span(self.authority))?;
+        show("skew", &span(self.skew))?;
+        show("window", &span(self.window))?;
+        show("ids", &self.ids)?;
+        show("answers", &self.answers)?;
+        show("body", &self.body)?;
+        show("callers", &self.callers)?;
+        show("stop", &span(self.stop))?;
+        show("log-format", &self.format)?;
+        show("log-level", &self.level.as_str().to_ascii_lowercase())
+    }
+}
--- a/crates/chervilring_daemon/src/settings/mod.rs
+++ b/crates/chervilring_daemon/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod common;
 mod entry;
 mod parse;
+mod show;
 mod source;
 
 pub use agent::{AgentSettings, AgentSettingsBuilder};
