--- a/crates/chervilring_core/src/agent/core.rs
+++ b/crates/chervilring_core/src/agent/core.rs
@@ -231,6 +231,11 @@
         &self.counters
     }
 
+    /// Returns the name of the state that the agent is in.
+    pub fn state_name(&self) -> &'static str {
+        status::state_name(self.state)
+    }
+
     /// Returns whether the agent takes work.
     pub fn state(&self) -> AgentState {
         self.state
@@ -379,12 +384,14 @@
 
     fn push_announce(&mut self) {
         self.counters.announces += 1;
+        let own = self.settings.labels.iter();
+        let labels = own.chain(&self.upstream.labels).cloned().collect();
         self.steps.push(AgentStep::Announce(Announce {
             agent: self.settings.agent.clone(),
             domain: self.settings.domain.clone(),
             state: self.state,
             services: self.upstream.services.clone(),
-            labels: self.upstream.labels.clone(),
+            labels,
             load: self.load(),
             ring: self.ring.version,
             revision: self.revision,
--- a/crates/chervilring_core/src/agent/settings.rs
+++ b/crates/chervilring_core/src/agent/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of an agent's decisions.
 
-use chervilring_wire::{AgentId, DomainName, Micros};
+use chervilring_wire::{AgentId, DomainName, Micros, Name};
 
 /// Settings of an [`Agent`](super::Agent), built from defaults.
 #[derive(Debug, Clone)]
@@ -9,6 +9,8 @@
     pub agent: AgentId,
     /// The failure domain that the worker stands in.
     pub domain: DomainName,
+    /// Labels of the worker, besides those that the upstream announces.
+    pub labels: Vec<Name>,
     /// The span between announcements.
     pub announce: Micros,
     /// Tasks that may wait for a slot, shared out between the entries that are linked.
@@ -36,6 +38,7 @@
         Self {
             agent,
             domain,
+            labels: Vec::new(),
             announce: Micros::from_millis(500),
             queue: 16,
             window: Micros::from_secs(660),
@@ -48,6 +51,12 @@
         }
     }
 
+    /// Sets the worker's labels.
+    pub fn labels(mut self, labels: Vec<Name>) -> Self {
+        self.labels = labels;
+        self
+    }
+
     /// Sets the span between announcements.
     pub fn announce(mut self, span: Micros) -> Self {
         self.announce = span;
--- a/crates/chervilring_dev/src/commands/mod.rs
+++ b/crates/chervilring_dev/src/commands/mod.rs
@@ -1,3 +1,4 @@
 //! The commands.
 
 pub(crate) mod platform;
+pub(crate) mod upstream;
--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use commands::platform::PlatformArgs;
+use commands::upstream::UpstreamArgs;
 
 /// stand-ins, trace replay and the demo of chervilring
 #[derive(Debug, FromArgs)]
@@ -16,11 +17,13 @@
 #[argh(subcommand)]
 enum Command {
     Platform(PlatformArgs),
+    Upstream(UpstreamArgs),
 }
 
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
-    match &args.command {
-        Command::Platform(args) => commands::platform::run(args),
+    match args.command {
+        Command::Platform(args) => commands::platform::run(&args),
+        Command::Upstream(args) => commands::upstream::run(args),
     }
 }
