Membership: hand-over once nothing that moves runs; new ids start before it

After a join, an id unknown to its new home waited for the old home's answers, and so for the longest job that moved. It waits now until the old home has told which ids it took on, one heartbeat; known ids wait for their answer.

--- a/crates/chervilring_core/src/membership/beat.rs
+++ b/crates/chervilring_core/src/membership/beat.rs
@@ -22,7 +22,7 @@
         };
         peer.up = true;
         peer.beat = now.mono;
-        if matches!(peer.hand, Hand::Sent(_)) {
+        if peer.hand != Hand::Done {
             peer.hand = Hand::Due;
         }
     }
@@ -170,6 +170,19 @@
         }
     }
 
+    /// Notes that the ids that move to a peer have been sent to it, all of them.
+    pub fn handover_sent(&mut self, now: Now, to: &EntryId) {
+        self.observe(now);
+        let next = Ticket(self.ticket.0 + 1);
+        let Some(peer) = self.peers.get_mut(to) else {
+            return;
+        };
+        if peer.hand == Hand::Asked {
+            peer.hand = Hand::Sent(next);
+            peer.beat = now.mono;
+        }
+    }
+
     /// Asks the entry to hand its ids over to a peer, if that is due.
     fn hand_over(&mut self, entry: &EntryId) {
         let Some(member) = self.ring.members.iter().find(|m| m.entry == *entry) else {
@@ -177,12 +190,11 @@
         };
         let leaving = matches!(self.phase, Phase::Leaving(_));
         let ring = RingVersion(self.ring.version.0 + u64::from(leaving));
-        let next = Ticket(self.ticket.0 + 1);
         let Some(peer) = self.peers.get_mut(entry) else {
             return;
         };
         if peer.hand == Hand::Due {
-            peer.hand = Hand::Sent(next);
+            peer.hand = Hand::Asked;
             let to = member.clone();
             self.steps.push(MemberStep::HandOver { to, ring });
         }
--- a/crates/chervilring_core/src/membership/known.rs
+++ b/crates/chervilring_core/src/membership/known.rs
@@ -53,6 +53,13 @@
         self.ids.insert(id)
     }
 
+    /// Removes an id that was not started after all.
+    pub(crate) fn remove(&mut self, id: SubmissionId) {
+        if self.ids.remove(&id) && id.stamp().is_none() {
+            self.unstamped -= 1;
+        }
+    }
+
     /// Returns whether an id is known to be started.
     pub(crate) fn contains(&self, id: SubmissionId) -> bool {
         self.ids.contains(&id)
--- a/crates/chervilring_core/src/membership/peer.rs
+++ b/crates/chervilring_core/src/membership/peer.rs
@@ -29,8 +29,10 @@
 pub(crate) enum Hand {
     /// Nothing to hand over, or all confirmed.
     Done,
-    /// The entry has to send the ids.
+    /// The entry has to be asked for the ids.
     Due,
+    /// The entry was asked, and sends them once none of them runs any more.
+    Asked,
     /// Sent ahead of this heartbeat.
     Sent(Ticket),
 }
--- a/crates/chervilring_core/src/membership/source.rs
+++ b/crates/chervilring_core/src/membership/source.rs
@@ -14,6 +14,8 @@
     Pending,
     /// Some may have been started without a record.
     Doubtful,
+    /// All that were started are known, but the living home has yet to hand their answers over.
+    Told,
     /// All that were started are known.
     Clear,
 }
@@ -77,8 +79,8 @@
 
     /// Judges by the evidence what is known of the ids.
     pub(crate) fn judge(&self, evidence: &Evidence) -> State {
-        if self.living && self.told_living(evidence) {
-            return State::Clear;
+        if let Some(state) = self.judge_living(evidence) {
+            return state;
         }
         if evidence.member {
             return State::Pending;
@@ -100,7 +102,7 @@
 
     /// Returns when a pending source is to be judged again, if nothing comes in before.
     pub(crate) fn wake_at(&self, home: Option<&Home>) -> Time {
-        if self.state != State::Pending {
+        if !matches!(self.state, State::Pending | State::Told) {
             return Time::NEVER;
         }
         let told = home.and_then(|h| h.whole);
@@ -109,19 +111,26 @@
         living.min(lost).min(self.ready.unwrap_or(Time::NEVER))
     }
 
-    /// Returns whether the living home has told all, and handed over or failed to in time.
-    fn told_living(&self, evidence: &Evidence) -> bool {
+    /// Judges ids that moved from a home that is, or was, a member of their ring as well: once it
+    /// has told all it started, it starts nothing more that moved.
+    fn judge_living(&self, evidence: &Evidence) -> Option<State> {
+        if !self.living {
+            return None;
+        }
         if !evidence.rules.handover {
-            return true;
+            return Some(State::Clear);
+        }
+        let home = evidence.home?;
+        let (version, since) = home.whole?;
+        if version < self.version {
+            return None;
         }
-        let Some(home) = evidence.home else {
-            return false;
-        };
         let handed = home.handed >= Some(self.version);
-        home.whole.is_some_and(|(version, since)| {
-            let late = evidence.now >= since + HANDOVER_GRACE;
-            version >= self.version && (handed || late || !evidence.member)
-        })
+        let late = evidence.now >= since + HANDOVER_GRACE;
+        if handed || late || !evidence.member {
+            return Some(State::Clear);
+        }
+        Some(State::Told)
     }
 
     /// Returns whether the home left in a planned stop, with a hand-over under this very ring.
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -168,7 +168,7 @@
     /// Returns what is known of an id that is at home here and not in the entry's own table.
     pub fn standing(&self, now: Now, id: SubmissionId) -> Standing {
         if self.known.contains(id) {
-            return Standing::MayHaveRun;
+            return self.standing_known(now, id);
         }
         let mut doubtful = false;
         for source in self.sources.iter().filter(|s| s.covers(id, &self.own.name)) {
@@ -182,7 +182,7 @@
                 self.stamped_after(id, self.stamp(start))
             });
             match source.state {
-                State::Clear => {}
+                State::Clear | State::Told => {}
                 _ if stamped && !source.living => {}
                 State::Doubtful => doubtful = true,
                 State::Pending => return Standing::Wait(self.look_again(now.mono, source)),
@@ -198,6 +198,32 @@
         Standing::Fresh
     }
 
+    /// Returns whether the answer of an id that was started is still on its way from a living home.
+    fn standing_known(&self, now: Now, id: SubmissionId) -> Standing {
+        let mut sources = self.sources.iter();
+        let coming = |s: &Source| s.state == State::Told && s.covers(id, &self.own.name);
+        if sources.any(coming) {
+            return Standing::Wait(now.mono + HEARTBEAT);
+        }
+        Standing::MayHaveRun
+    }
+
+    /// Returns the entry that an id has moved to, or will move to when this entry leaves.
+    pub fn heir(&self, id: SubmissionId) -> Option<EntryId> {
+        let leaving = matches!(self.phase, Phase::Leaving(_));
+        let heir = match self.ring.home(id) {
+            Some(home) if home.entry != self.own => Some(home),
+            _ if leaving => self.ring.next_home(id, &self.own),
+            _ => None,
+        };
+        heir.map(|m| m.entry.clone())
+    }
+
+    /// Notes that an id taken on did not run after all, so that it may be taken on again here.
+    pub fn forget_started(&mut self, id: SubmissionId) {
+        self.known.remove(id);
+    }
+
     /// Notes that the entry has taken an id on: from now on it may be started.
     pub fn record_started(&mut self, id: SubmissionId) {
         self.learn(id);
--- a/crates/chervilring_core/src/membership/times.rs
+++ b/crates/chervilring_core/src/membership/times.rs
@@ -30,7 +30,7 @@
 pub(crate) const REPORT_GRACE: Micros = Micros::from_secs(2);
 
 /// How long a new home waits for the answers of a living home after it knows the ids.
-pub(crate) const HANDOVER_GRACE: Micros = Micros::from_secs(2);
+pub(crate) const HANDOVER_GRACE: Micros = Micros::from_secs(30);
 
 /// How long a leaving entry waits for its peers to take its ids over.
 pub(crate) const LEAVE_PATIENCE: Micros = Micros::from_secs(5);
