--- a/crates/chervilring/src/args.rs
+++ b/crates/chervilring/src/args.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use crate::commands::{entry, job, request, status};
+use crate::commands::{agent, entry, job, request, status};
 
 /// Dispatcher for sub-second tasks: daemons, and commands for operators and callers.
 #[derive(Debug, FromArgs)]
@@ -27,11 +27,9 @@
 /// The commands.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
-#[expect(
-    clippy::large_enum_variant,
-    reason = "a process holds one of these, and argh takes no boxes"
-)]
 pub enum Command {
+    /// Runs an agent.
+    Agent(agent::AgentCommand),
     /// Runs an entry.
     Entry(entry::EntryCommand),
     /// Submits a request.
--- a/crates/chervilring_dev/src/commands/upstream.rs
+++ b/crates/chervilring_dev/src/commands/upstream.rs
@@ -18,7 +18,7 @@
 const LOOK: Duration = Duration::from_millis(10);
 
 /// runs a stand-in of an upstream: a task sleeps for the `work_ms` of its JSON body, or of an
-/// opaque body that starts with work_ms=; faults can be changed at PUT /faults, starts are counted
+/// opaque body that starts with `work_ms=`; faults can be changed at PUT /faults, starts are counted
 /// at GET /counts
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "upstream")]
