--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -4,6 +4,7 @@
 
 use argh::FromArgs;
 use commands::platform::PlatformArgs;
+use commands::replay::ReplayArgs;
 use commands::upstream::UpstreamArgs;
 
 /// stand-ins, trace replay and the demo of chervilring
@@ -17,6 +18,7 @@
 #[argh(subcommand)]
 enum Command {
     Platform(PlatformArgs),
+    Replay(ReplayArgs),
     Upstream(UpstreamArgs),
 }
 
@@ -24,6 +26,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Platform(args) => commands::platform::run(&args),
+        Command::Replay(args) => commands::replay::run(&args),
         Command::Upstream(args) => commands::upstream::run(args),
     }
 }
--- /dev/null
+++ b/crates/chervilring_dev/src/replay/mod.rs
@@ -0,0 +1,19 @@
+//! Replay of traces: against the decision core in virtual time, or against real processes.
+
+pub mod deployment;
+mod faults;
+mod generate;
+mod home;
+mod measure;
+mod oracle;
+mod plot;
+mod report;
+mod rng;
+pub mod trace;
+mod upstream;
+mod world;
+
+pub use generate::{generate, names};
+pub use measure::{Phase, Played, Summary};
+pub use report::{Format, Line, render};
+pub use world::play;
