--- a/crates/chervilring/src/commands/mod.rs
+++ b/crates/chervilring/src/commands/mod.rs
@@ -17,6 +17,6 @@
         Command::Entry(command) => entry::run(command),
         Command::Request(command) => request::run(command),
         Command::Job(command) => job::run(command),
-        Command::Status(command) => status::run(command),
+        Command::Status(command) => status::run(&command),
     }
 }
--- a/crates/chervilring/src/commands/status.rs
+++ b/crates/chervilring/src/commands/status.rs
@@ -31,7 +31,7 @@
 }
 
 /// Runs the command.
-pub(crate) fn run(command: StatusCommand) -> eyre::Result<ExitStatus> {
+pub(crate) fn run(command: &StatusCommand) -> eyre::Result<ExitStatus> {
     let client = Client::new(command.entry.as_deref(), Some(TIMEOUT))?;
     let reports: Vec<Value> = client
         .entries()
--- a/crates/chervilring/src/output.rs
+++ b/crates/chervilring/src/output.rs
@@ -28,19 +28,19 @@
 }
 
 /// Prints text on standard output. A reader that has gone away is no error.
-pub fn print(text: &str) {
+pub(crate) fn print(text: &str) {
     print_bytes(text.as_bytes());
 }
 
 /// Prints a document as one line of JSON.
-pub fn print_json(document: &impl Serialize) {
+pub(crate) fn print_json(document: &impl Serialize) {
     let mut text = serde_json::to_string(document).unwrap_or_default();
     text.push('\n');
     print(&text);
 }
 
 /// Prints bytes on standard output as they are.
-pub fn print_bytes(bytes: &[u8]) {
+pub(crate) fn print_bytes(bytes: &[u8]) {
     let mut out = io::stdout().lock();
     // The reader of a pipe may have gone away, which is its good right.
     let _ = out.write_all(bytes).and_then(|()| out.flush());
