--- /dev/null
+++ b/crates/chervilring_core/src/entry/forwards.rs
@@ -0,0 +1,112 @@
+//! Submissions and queries on their way to another entry.
+
+use std::collections::BTreeSet;
+
+use chervilring_wire::{EntryId, Ring, Submission, Ticket, Time};
+use rustc_hash::FxHashMap;
+
+use super::next_ticket;
+use super::waits::Caller;
+
+/// What was passed on.
+#[derive(Debug)]
+pub(super) enum Passed {
+    /// A submission, kept so that it can be passed on again.
+    Submission(Box<Submission>),
+    /// A query.
+    Query,
+}
+
+/// Something on its way to another entry.
+#[derive(Debug)]
+pub(super) struct Forward {
+    /// Whom the reply goes to.
+    pub(super) caller: Caller,
+    /// The entry that was asked.
+    pub(super) to: EntryId,
+    /// What it was asked.
+    pub(super) passed: Passed,
+    /// When the caller's deadline is over.
+    pub(super) deadline: Time,
+}
+
+/// All that is on its way.
+#[derive(Debug, Default)]
+pub(super) struct ForwardTable {
+    table: FxHashMap<Ticket, Forward>,
+    expiries: BTreeSet<(Time, Ticket)>,
+    last: u64,
+}
+
+impl ForwardTable {
+    /// Adds a forward and returns its ticket.
+    pub(super) fn add(&mut self, forward: Forward) -> Ticket {
+        let ticket = next_ticket(&mut self.last);
+        self.expiries.insert((forward.deadline, ticket));
+        self.table.insert(ticket, forward);
+        ticket
+    }
+
+    /// Takes the forward that an entry answers; a reply of any other entry counts for nothing.
+    pub(super) fn answered(&mut self, from: &EntryId, ticket: Ticket) -> Option<Forward> {
+        let forward = self.table.get(&ticket)?;
+        if forward.to != *from {
+            return None;
+        }
+        self.take(ticket)
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<Forward> {
+        let forward = self.table.remove(&ticket)?;
+        self.expiries.remove(&(forward.deadline, ticket));
+        Some(forward)
+    }
+
+    /// Takes the forwards whose deadline is over.
+    pub(super) fn expired(&mut self, now: Time) -> Vec<Forward> {
+        let mut expired = Vec::new();
+        while let Some((deadline, ticket)) = self.expiries.first().copied() {
+            if deadline > now {
+                break;
+            }
+            expired.extend(self.take(ticket));
+        }
+        expired
+    }
+
+    /// Takes all forwards.
+    pub(super) fn take_all(&mut self) -> Vec<Forward> {
+        self.take_where(|_| true)
+    }
+
+    /// Takes the forwards to an entry whose link is down.
+    pub(super) fn lost(&mut self, entry: &EntryId) -> Vec<Forward> {
+        self.take_where(|forward| forward.to == *entry)
+    }
+
+    /// Takes the forwards to entries that are not in the ring.
+    pub(super) fn leave_ring(&mut self, ring: &Ring) -> Vec<Forward> {
+        self.take_where(|forward| !ring.contains(&forward.to))
+    }
+
+    fn take_where(&mut self, lost: impl Fn(&Forward) -> bool) -> Vec<Forward> {
+        let matching = self.table.iter().filter(|(_, forward)| lost(forward));
+        let mut tickets: Vec<Ticket> = matching.map(|(ticket, _)| *ticket).collect();
+        tickets.sort_unstable();
+        tickets.into_iter().filter_map(|t| self.take(t)).collect()
+    }
+
+    /// Returns when the next deadline is over.
+    pub(super) fn next_expiry(&self) -> Time {
+        let first = self.expiries.first();
+        first.map_or(Time::NEVER, |(deadline, _)| *deadline)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.table.len()
+    }
+}
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -1,1 +1,326 @@
 //! The entry: submissions, their ids and their callers.
+//!
+//! [`Entry`] joins the parts of an entry: the membership in the ring, the dispatcher of tasks, the
+//! table of ids and the callers who wait. Events are handed in, [`Entry::run`] runs the systems
+//! over the tables and [`Entry::drain`] returns what is to be carried out.
+
+mod agents;
+mod configuration;
+mod counters;
+mod forwards;
+mod handover;
+mod held;
+mod ids;
+mod intake;
+mod limits;
+mod peers;
+mod queries;
+mod status;
+mod step;
+#[cfg(test)]
+mod tests;
+mod waits;
+
+use std::sync::Arc;
+
+use chervilring_wire::{
+    EntryId, Failure, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
+};
+
+use crate::config::Config;
+use crate::dispatch::{Dispatcher, Step};
+use crate::membership::{MemberStep, Membership, StoreEvent};
+
+use agents::AgentTable;
+use configuration::Revisions;
+use forwards::ForwardTable;
+use handover::HandoverTable;
+use held::HeldTable;
+use ids::IdTable;
+use intake::TAKEOVER;
+use peers::PeerTable;
+use waits::{Caller, WaitTable};
+
+pub use counters::EntryCounters;
+pub use limits::{Limits, LimitsBuilder};
+pub use status::{AgentView, EntryStatus, PeerView};
+pub use step::{Change, EntryStep};
+
+/// How often demand is reported and the window of ids moved on, in microseconds.
+const HOUSEKEEPING: u64 = 250_000;
+
+/// An entry, free of I/O.
+#[derive(Debug)]
+pub struct Entry {
+    id: EntryId,
+    limits: Limits,
+    membership: Membership,
+    dispatcher: Dispatcher,
+    config: Arc<Config>,
+    revisions: Revisions,
+    ids: IdTable,
+    waits: WaitTable,
+    held: HeldTable,
+    forwards: ForwardTable,
+    agents: AgentTable,
+    peers: PeerTable,
+    handovers: HandoverTable,
+    counters: EntryCounters,
+    /// Until when submissions are queued although no work may start.
+    hold_until: Option<Time>,
+    housekeeping: Time,
+    stopping: bool,
+    /// Whether the membership was asked to leave the ring.
+    leaving: bool,
+    local_ids: u64,
+    steps: Vec<EntryStep>,
+}
+
+impl Entry {
+    /// Creates an entry without configuration, peers and agents.
+    pub fn new(
+        id: EntryId,
+        membership: Membership,
+        dispatcher: Dispatcher,
+        limits: Limits,
+    ) -> Self {
+        Self {
+            id,
+            ids: IdTable::new(&limits),
+            limits,
+            membership,
+            dispatcher,
+            config: Arc::new(Config::empty()),
+            revisions: Revisions::default(),
+            waits: WaitTable::default(),
+            held: HeldTable::default(),
+            forwards: ForwardTable::default(),
+            agents: AgentTable::default(),
+            peers: PeerTable::default(),
+            handovers: HandoverTable::default(),
+            counters: EntryCounters::default(),
+            hold_until: None,
+            housekeeping: Time::default(),
+            stopping: false,
+            leaving: false,
+            local_ids: 0,
+            steps: Vec::new(),
+        }
+    }
+
+    /// Returns this life of the entry.
+    pub fn id(&self) -> &EntryId {
+        &self.id
+    }
+
+    /// Returns the ring in force here.
+    pub fn ring(&self) -> &Ring {
+        self.membership.ring()
+    }
+
+    /// Returns whether the entry takes work: it is a member, knows a configuration and is not
+    /// stopping.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping && self.ring().contains(&self.id) && self.revisions.is_loaded()
+    }
+
+    /// Returns whether no submission is running, held or on its way to another entry.
+    pub fn is_idle(&self) -> bool {
+        self.ids.running() == 0 && self.held.is_empty() && self.forwards.is_empty()
+    }
+
+    /// Takes in what came back from the platform's store.
+    pub fn store(&mut self, now: Now, event: StoreEvent) {
+        self.membership.store(now, event);
+    }
+
+    /// Begins a planned stop: nothing new is taken, what runs is finished, ids are handed over.
+    pub fn leave(&mut self) {
+        if !self.stopping {
+            self.stopping = true;
+            self.steps.push(EntryStep::Change(Change::Stopping));
+        }
+    }
+
+    /// Runs the systems over the tables.
+    pub fn run(&mut self, now: Now) {
+        self.keep_house(now);
+        self.membership.tick(now);
+        self.member_steps(now);
+        self.retry_held(now);
+        self.dispatch(now);
+        self.leave_ring(now);
+        self.expire_waits(now.mono);
+        self.expire_forwards(now);
+        self.hand_over(now);
+        self.member_steps(now);
+    }
+
+    /// Returns when [`Entry::run`] is due without further events.
+    pub fn wake_at(&self) -> Time {
+        let parts = [
+            self.membership.wake_at(),
+            self.dispatcher.wake_at(),
+            self.waits.next_expiry(),
+            self.held.next_look(),
+            self.forwards.next_expiry(),
+            self.housekeeping,
+        ];
+        parts.into_iter().min().unwrap_or(Time::NEVER)
+    }
+
+    /// Takes the steps to be carried out, in order.
+    pub fn drain(&mut self) -> Vec<EntryStep> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Answers everybody: the ids that were at home here have moved on, and this life is over.
+    fn evicted(&mut self) {
+        let mut callers = self.waits.take_all();
+        callers.extend(self.held.take_all().into_iter().map(|held| held.caller));
+        callers.extend(self.forwards.take_all().into_iter().map(|f| f.caller));
+        for caller in callers {
+            let lost = failure(Verdict::MayHaveRun, Reason::HomeLost, Some(TAKEOVER));
+            self.refuse(caller, lost);
+        }
+        self.stopping = true;
+        self.steps.push(EntryStep::Change(Change::Evicted));
+        self.steps.push(EntryStep::Evicted);
+    }
+
+    /// Leaves the ring once everything taken in is answered.
+    fn leave_ring(&mut self, now: Now) {
+        if self.stopping && !self.leaving && self.is_idle() {
+            self.leaving = true;
+            self.membership.leave(now);
+        }
+    }
+
+    /// Makes up an id that no other entry and no earlier life of this one uses.
+    fn local_id(&mut self) -> SubmissionId {
+        self.local_ids += 1;
+        let key = format!("{}/{}", self.id, self.local_ids);
+        SubmissionId::from_key(&key)
+    }
+
+    /// Moves the window of ids on and reports demand with the next heartbeats.
+    fn keep_house(&mut self, now: Now) {
+        if now.mono < self.housekeeping {
+            return;
+        }
+        self.housekeeping = Time(now.mono.0 + HOUSEKEEPING);
+        self.ids.forget_expired(now);
+        self.membership.set_demand(self.dispatcher.demand(now.mono));
+        self.membership.set_revision(self.config.revision);
+    }
+
+    /// Carries out what the membership asks for.
+    fn member_steps(&mut self, now: Now) {
+        for step in self.membership.drain() {
+            match step {
+                MemberStep::Store(call) => self.steps.push(EntryStep::Store(call)),
+                MemberStep::Peer { to, message } => {
+                    self.steps.push(EntryStep::Peer { to, message });
+                }
+                MemberStep::Ring(ring) => self.ring_changed(now, &ring),
+                MemberStep::HandOver { to, ring } => self.handovers.begin(to.entry, ring),
+                MemberStep::Evicted => self.evicted(),
+                MemberStep::Left => {
+                    self.steps.push(EntryStep::Change(Change::Left));
+                    self.steps.push(EntryStep::Left);
+                }
+            }
+        }
+        for agent in self.membership.drain_allowed() {
+            self.dispatcher.allow(&agent);
+        }
+    }
+
+    /// Tells agents of a new ring and routes anew what was on its way to a former member.
+    fn ring_changed(&mut self, now: Now, ring: &Ring) {
+        self.steps
+            .push(EntryStep::Change(Change::Ring(ring.version)));
+        self.push_ring(ring);
+        for forward in self.forwards.leave_ring(ring) {
+            self.lose_forward(now, forward);
+        }
+    }
+
+    /// Runs the dispatcher and carries out its steps.
+    fn dispatch(&mut self, now: Now) {
+        let authority = self.membership.authority(now);
+        let ring = self.ring().version;
+        for step in self.dispatcher.run(now.mono, authority) {
+            match step {
+                Step::Start { agent, tasks } => self.start(ring, agent, tasks),
+                Step::Cancel { agent, keys } => self.cancel_at(agent, keys),
+                Step::Ended { id, result } => {
+                    let reply = result.map_or_else(Reply::Failed, Reply::Complete);
+                    self.ended(id, reply);
+                }
+            }
+        }
+    }
+
+    /// Records how a submission ended and tells all who wait for it.
+    fn ended(&mut self, id: SubmissionId, reply: Reply) {
+        match &reply {
+            Reply::Complete(_) => self.counters.completed += 1,
+            Reply::Failed(_) => self.counters.failed += 1,
+            Reply::Pending(_) => {}
+        }
+        for caller in self.waits.take(id) {
+            self.reply(caller, reply.clone());
+        }
+        self.ids.end(id, reply);
+    }
+
+    /// Answers callers who do not wait for the end.
+    fn expire_waits(&mut self, now: Time) {
+        for (id, caller) in self.waits.expired(now) {
+            let reply = match self.dispatcher.progress(id) {
+                Some(progress) => Reply::Pending(progress),
+                None => continue,
+            };
+            self.reply(caller, reply);
+        }
+    }
+
+    /// Answers a caller here or at another entry.
+    fn reply(&mut self, caller: Caller, reply: Reply) {
+        let step = match caller {
+            Caller::Local(ticket) => EntryStep::Reply { ticket, reply },
+            Caller::Peer { entry, ticket } => EntryStep::Peer {
+                to: entry,
+                message: chervilring_wire::PeerMessage::Reply { ticket, reply },
+            },
+        };
+        self.steps.push(step);
+    }
+
+    /// Answers a caller with a failure.
+    fn refuse(&mut self, caller: Caller, failure: Failure) {
+        self.counters.refuse(failure.reason);
+        self.reply(caller, Reply::Failed(failure));
+    }
+
+    /// Returns how many callers wait here for an answer.
+    pub fn waiting(&self) -> usize {
+        self.waits.len() + self.held.len() + self.forwards.len()
+    }
+}
+
+/// Creates a failure with the span after which coming back is of use.
+fn failure(verdict: Verdict, reason: Reason, retry: Option<chervilring_wire::Micros>) -> Failure {
+    Failure {
+        verdict,
+        reason,
+        retry,
+    }
+}
+
+/// Returns a ticket that no earlier forward has used.
+fn next_ticket(last: &mut u64) -> Ticket {
+    *last += 1;
+    Ticket(*last)
+}
--- /dev/null
+++ b/crates/chervilring_core/src/entry/peers.rs
@@ -0,0 +1,112 @@
+//! Links to the other entries.
+
+use chervilring_wire::{EntryId, Now, PeerMessage, Revision};
+use rustc_hash::FxHashMap;
+
+use super::{Change, Entry, EntryStep};
+
+/// The other entries whose link is up.
+#[derive(Debug, Default)]
+pub(super) struct PeerTable {
+    table: FxHashMap<EntryId, Peer>,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    /// The configuration that the peer has in force.
+    revision: Revision,
+    /// The newest configuration that was sent to it.
+    sent: Revision,
+}
+
+impl PeerTable {
+    pub(super) fn is_up(&self, peer: &EntryId) -> bool {
+        self.table.contains_key(peer)
+    }
+
+    /// Returns each peer with the configuration it has in force.
+    pub(super) fn revisions(&self) -> impl Iterator<Item = (&EntryId, Revision)> {
+        self.table.iter().map(|(id, peer)| (id, peer.revision))
+    }
+}
+
+impl Entry {
+    /// Takes in that the link to another entry is up.
+    pub fn peer_up(&mut self, now: Now, peer: &EntryId) {
+        self.peers.table.insert(peer.clone(), Peer::default());
+        self.membership.peer_up(now, peer);
+        let change = Change::PeerUp(peer.clone());
+        self.steps.push(EntryStep::Change(change));
+    }
+
+    /// Takes in that the link to another entry is down: what was passed to it is answered at once.
+    pub fn peer_down(&mut self, now: Now, peer: &EntryId) {
+        if self.peers.table.remove(peer).is_none() {
+            return;
+        }
+        self.membership.peer_down(now, peer);
+        let change = Change::PeerDown(peer.clone());
+        self.steps.push(EntryStep::Change(change));
+        for forward in self.forwards.lost(peer) {
+            self.lose_forward(now, forward);
+        }
+    }
+
+    /// Takes in a message of another entry.
+    pub fn peer_message(&mut self, now: Now, from: &EntryId, message: PeerMessage) {
+        match message {
+            PeerMessage::Heartbeat(beat) => {
+                self.dispatcher.peer_demand(now.mono, from, &beat.demand);
+                self.membership.heartbeat(now, from, &beat);
+                self.compare_revision(from, beat.revision);
+            }
+            PeerMessage::Confirm {
+                ticket,
+                ring,
+                revision,
+            } => {
+                self.membership.confirm(now, from, ticket, &ring);
+                self.compare_revision(from, revision);
+            }
+            PeerMessage::Submit { ticket, submission } => {
+                self.submit_from_peer(now, from, ticket, *submission);
+            }
+            PeerMessage::Query { ticket, id, query } => {
+                self.query_from_peer(now, from, ticket, id, query);
+            }
+            PeerMessage::Reply { ticket, reply } => self.forward_answered(now, from, ticket, reply),
+            PeerMessage::Handover(handover) => self.take_over(now, from, handover),
+            PeerMessage::Config(None) => self.send_config(from),
+            PeerMessage::Config(Some(blob)) => self.configure(now, blob),
+        }
+    }
+
+    /// Returns how many other entries' links are up.
+    pub fn peers_up(&self) -> usize {
+        self.peers.table.len()
+    }
+
+    /// Sends the configuration to a peer that has an older one.
+    fn compare_revision(&mut self, from: &EntryId, revision: Revision) {
+        let Some(peer) = self.peers.table.get_mut(from) else {
+            return;
+        };
+        peer.revision = revision;
+        if revision.max(peer.sent) < self.config.revision {
+            self.send_config(from);
+        }
+    }
+
+    fn send_config(&mut self, to: &EntryId) {
+        let Some(blob) = self.revisions.blob() else {
+            return;
+        };
+        if let Some(peer) = self.peers.table.get_mut(to) {
+            peer.sent = blob.revision;
+        }
+        self.steps.push(EntryStep::Peer {
+            to: to.clone(),
+            message: PeerMessage::Config(Some(blob)),
+        });
+    }
+}
--- a/crates/chervilring_daemon/src/lib.rs
+++ b/crates/chervilring_daemon/src/lib.rs
@@ -4,7 +4,11 @@
 pub mod agent;
 pub mod entry;
 pub mod http;
+pub mod listening;
 pub mod log;
 pub mod metrics;
 pub mod net;
 pub mod settings;
+pub mod signals;
+
+pub use entry::run_entry;
