--- a/crates/chervilring_core/src/entry/agents.rs
+++ b/crates/chervilring_core/src/entry/agents.rs
@@ -1,8 +1,8 @@
 //! Links to the agents.
 
 use chervilring_wire::{
-    AgentId, AgentMessage, Announce, AnnounceAck, EntryMessage, Now, Origin, Revision, Ring,
-    RingVersion, StartBatch, TaskAnswer, TaskKey, TaskStart,
+    AgentId, AgentMessage, Announce, AnnounceAck, EntryMessage, Now, Revision, Ring, RingVersion,
+    StartBatch, TaskAnswer, TaskKey, TaskStart,
 };
 use rustc_hash::FxHashMap;
 
@@ -94,10 +94,6 @@
 
     /// Starts tasks at an agent.
     pub(super) fn start(&mut self, ring: RingVersion, agent: AgentId, tasks: Vec<TaskStart>) {
-        let keyed = tasks.iter().filter(|task| task.origin == Origin::Keyed);
-        for task in keyed {
-            self.membership.record_started(task.key.submission);
-        }
         let message = EntryMessage::Start(StartBatch { ring, tasks });
         self.steps.push(EntryStep::Agent { to: agent, message });
     }
--- a/crates/chervilring_core/src/entry/ids.rs
+++ b/crates/chervilring_core/src/entry/ids.rs
@@ -140,19 +140,21 @@
     /// Records how a submission ended.
     ///
     /// An id that did not run is forgotten, so that it can be submitted again; one that its caller
-    /// cancelled is not.
-    pub(super) fn end(&mut self, id: SubmissionId, reply: Reply) {
+    /// cancelled is not. Returns whether it was forgotten.
+    pub(super) fn end(&mut self, id: SubmissionId, reply: Reply) -> bool {
         let Some(record) = self.table.get(&id) else {
-            return;
+            return false;
         };
         if matches!(record.known, Known::Running) {
             self.running -= 1;
         }
-        if record.origin == Origin::Local || may_start_anew(&reply) {
+        let forget = record.origin == Origin::Local || may_start_anew(&reply);
+        if forget {
             self.remove(id);
         } else {
             self.keep(id, reply);
         }
+        forget
     }
 
     fn keep(&mut self, id: SubmissionId, reply: Reply) {
--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -197,6 +197,9 @@
                 }
                 self.ids
                     .insert(now, id, submission.fingerprint, submission.origin);
+                if submission.origin == Origin::Keyed {
+                    self.membership.record_started(id);
+                }
                 let until = submission.wait.map_or(Time::NEVER, |wait| now.mono + wait);
                 self.waits.add(id, caller, until);
             }
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -272,7 +272,9 @@
         for caller in self.waits.take(id) {
             self.reply(caller, reply.clone());
         }
-        self.ids.end(id, reply);
+        if self.ids.end(id, reply) {
+            self.membership.forget_started(id);
+        }
     }
 
     /// Answers callers who do not wait for the end.
