Membership: the skew is the difference between two wall clocks, counted once

A stamp is compared with the clock of the entry that noted the end of the wait; only the difference between the caller's clock and that one counts.

--- a/crates/chervilring_core/src/membership/settings.rs
+++ b/crates/chervilring_core/src/membership/settings.rs
@@ -16,7 +16,7 @@
     pub authority: Micros,
     /// Time between heartbeats.
     pub heartbeat: Micros,
-    /// By how much any wall clock may be wrong.
+    /// By how much any two wall clocks may differ.
     pub skew: Micros,
     /// How long an id is remembered after its stamp.
     pub window: Micros,
@@ -64,7 +64,7 @@
         self
     }
 
-    /// Sets by how much any wall clock may be wrong.
+    /// Sets by how much any two wall clocks may differ.
     pub fn skew(mut self, span: Micros) -> Self {
         self.0.skew = span;
         self
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -324,7 +324,7 @@
         }
         self.last = now.mono;
         self.offset = self.offset.max(offset(now));
-        let skew = 2 * self.settings.skew.as_millis();
+        let skew = self.settings.skew.as_millis();
         self.known.expire(Stamp(now.wall.0.saturating_sub(skew)));
     }
 
@@ -420,7 +420,7 @@
 
     /// Returns whether an id was made after a point of wall-clock time, however wrong the clocks.
     fn stamped_after(&self, id: SubmissionId, until: Stamp) -> bool {
-        let skew = 2 * self.settings.skew.as_millis();
+        let skew = self.settings.skew.as_millis();
         id.stamp().is_some_and(|stamp| stamp.0 > until.0 + skew)
     }
 
--- a/crates/chervilring_core/src/membership/times.rs
+++ b/crates/chervilring_core/src/membership/times.rs
@@ -20,11 +20,11 @@
 /// By how much a clock may gain on another one in the span of an authority.
 pub(crate) const DRIFT: Micros = Micros::from_millis(100);
 
-/// By how much a wall clock, of a caller or an entry, may be wrong.
-pub const SKEW: Micros = Micros::from_secs(2);
+/// By how much the wall clocks of any two callers or entries may differ.
+pub const SKEW: Micros = Micros::from_secs(5);
 
 /// How long an id is remembered after its stamp.
-pub const WINDOW: Micros = Micros::from_secs(3600);
+pub const WINDOW: Micros = Micros::from_secs(600);
 
 /// How long a new home waits for the agents' reports before it says "may have run".
 pub(crate) const REPORT_GRACE: Micros = Micros::from_secs(2);
