Run the entry daemon from the command line; agents set their timer anew

An agent died at its first link event: timer_min! of stakker panics ('attempt to subtract with overflow') when it is moved to a point that has passed. A timer that is deleted and set again does not; the entry uses the same. Seen with two agents and three entries on loopback: before, both agents were gone within 0.2 s; after, they are ready at all entries.

--- a/crates/chervilring/src/commands/entry.rs
+++ b/crates/chervilring/src/commands/entry.rs
@@ -107,5 +107,6 @@
         output::print(&settings.to_string());
         return Ok(ExitStatus::Ok);
     }
-    eyre::bail!("the entry daemon is not linked in yet")
+    chervilring_daemon::run_entry(&settings)?;
+    Ok(ExitStatus::Ok)
 }
--- a/crates/chervilring_daemon/src/agent/actor.rs
+++ b/crates/chervilring_daemon/src/agent/actor.rs
@@ -7,7 +7,7 @@
 use chervilring_wire::codec::CodecError;
 use chervilring_wire::{AgentId, Datagram, EntryId, EntryMessage, Hello, Time};
 use slog::{Logger, info, warn};
-use stakker::{CX, MinTimerKey, timer_min};
+use stakker::{CX, FixedTimerKey, at};
 use stakker_mio::Ready;
 
 use super::calls::{Calls, Ended};
@@ -41,7 +41,7 @@
 /// The agent daemon's only actor.
 pub(super) struct AgentActor {
     parts: Parts,
-    timer: MinTimerKey,
+    timer: Option<FixedTimerKey>,
     state: &'static str,
 }
 
@@ -54,7 +54,7 @@
     pub(super) fn init(cx: CX![], parts: Parts) -> Option<Self> {
         let mut this = Self {
             parts,
-            timer: MinTimerKey::default(),
+            timer: None,
             state: "down",
         };
         this.carry(cx);
@@ -260,7 +260,11 @@
 
     fn set_timer(&mut self, cx: CX![]) {
         let wake = self.parts.agent.wake_at().min(self.parts.dialer.wake_at());
-        let at = self.parts.clock.instant(wake).min(cx.now() + TICK);
-        timer_min!(&mut self.timer, at, [cx], tick());
+        let due = self.parts.clock.instant(wake).min(cx.now() + TICK);
+        // A `timer_min!` cannot be moved to a point that has passed: it panics.
+        if let Some(timer) = self.timer.take() {
+            cx.timer_del(timer);
+        }
+        self.timer = Some(at!(due, [cx], tick()));
     }
 }
