HTTP: free connections that the thread pool of tiny_http leaves in its queue

Cause: the pool queues a connection when it has seen an idle thread; several that come in together may count on the same one, and those left over wait until some kept connection ends. Seen as the first store call of one of three entries timing out after 2 s at each start. Ruled out: the store's work (its calls take under a millisecond) and lost datagrams (TCP).

--- a/crates/chervilring_daemon/src/http/server.rs
+++ b/crates/chervilring_daemon/src/http/server.rs
@@ -15,6 +15,7 @@
 use super::body;
 use super::call::Call;
 use super::connections::{Connections, Entered};
+use super::kicker::Kicker;
 use super::pool::Pool;
 use crate::metrics::Metrics;
 
@@ -75,6 +76,7 @@
     pub(super) connections: Connections,
     pub(super) writers: Pool,
     pub(super) abandoned: Counter<u64>,
+    kicker: Kicker,
     readers: Pool,
     handler: Handler,
     log: Logger,
@@ -124,6 +126,7 @@
         let shared = Shared {
             connections: Connections::new(settings.idle),
             writers: Pool::new("http-write", WRITERS, MAX_WRITERS),
+            kicker: Kicker::start(addr)?,
             readers: Pool::new("http-read", 0, MAX_READERS),
             handler: Box::new(handler),
             log,
@@ -291,7 +294,12 @@
         let last = self.shared.last.lock();
         *last.unwrap_or_else(PoisonError::into_inner) = Instant::now();
         match self.shared.connections.enter(request) {
-            Entered::Now(request) => Ok(Some(request)),
+            Entered::Now(request) => {
+                if let Some(addr) = request.remote_addr() {
+                    self.shared.kicker.served(*addr);
+                }
+                Ok(Some(request))
+            }
             Entered::Later => Ok(None),
         }
     }
