--- a/crates/chervilring_dev/src/platform/server.rs
+++ b/crates/chervilring_dev/src/platform/server.rs
@@ -6,6 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use chervilring_daemon::http::Kicker;
 use serde_json::{Value, json};
 use tiny_http::{Header, Method, Request, Response, Server};
 
@@ -76,7 +77,8 @@
         let server = Arc::new(server);
         let acceptor = {
             let (server, shared) = (Arc::clone(&server), Arc::clone(&shared));
-            thread::spawn(move || accept(&server, &shared))
+            let kicker = Kicker::start(addr)?;
+            thread::spawn(move || accept(&server, &shared, &kicker))
         };
         Ok(Self {
             addr,
@@ -139,8 +141,11 @@
     }
 }
 
-fn accept(server: &Server, shared: &Arc<Shared>) {
+fn accept(server: &Server, shared: &Arc<Shared>, kicker: &Kicker) {
     while let Ok(request) = server.recv() {
+        if let Some(addr) = request.remote_addr() {
+            kicker.served(*addr);
+        }
         let shared = Arc::clone(shared);
         thread::spawn(move || handle(request, &shared));
     }
--- a/crates/chervilring_dev/src/upstream/mod.rs
+++ b/crates/chervilring_dev/src/upstream/mod.rs
@@ -18,6 +18,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use chervilring_daemon::http::Kicker;
 use eyre::{WrapErr, eyre};
 use tiny_http::Server;
 
@@ -63,9 +64,10 @@
             ..Shared::default()
         });
         let (own, own_gate) = (Arc::clone(&shared), gate.clone());
+        let kicker = Kicker::start(inner)?;
         thread::Builder::new()
             .name("upstream".into())
-            .spawn(move || server::serve(&server, &own, &own_gate))?;
+            .spawn(move || server::serve(&server, &own, &own_gate, &kicker))?;
         let this = Self { shared, gate };
         this.start_announcing(settings)?;
         Ok(this)
--- a/crates/chervilring_dev/src/upstream/server.rs
+++ b/crates/chervilring_dev/src/upstream/server.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+use chervilring_daemon::http::Kicker;
 use serde_json::json;
 use tiny_http::{Header, Method, Request, Response, Server};
 
@@ -40,8 +41,11 @@
 }
 
 /// Serves requests until the stand-in has ended.
-pub(super) fn serve(server: &Server, shared: &Arc<Shared>, gate: &Gate) {
+pub(super) fn serve(server: &Server, shared: &Arc<Shared>, gate: &Gate, kicker: &Kicker) {
     for request in server.incoming_requests() {
+        if let Some(addr) = request.remote_addr() {
+            kicker.served(*addr);
+        }
         if shared.ended.load(Ordering::Relaxed) {
             return;
         }
