Entry: await the last replies of an entry that left the ring

Cause: a new ring without a leaving entry could come from the store or a third entry before that entry's own last replies; what was passed to it was then answered 'may have run' although it had run and the answer was under way. Now the replies are awaited for a second more, and the caller's own deadline is kept apart from that.

--- a/crates/chervilring_core/src/entry/forwards.rs
+++ b/crates/chervilring_core/src/entry/forwards.rs
@@ -28,6 +28,8 @@
     pub(super) passed: Passed,
     /// When the caller's deadline is over.
     pub(super) deadline: Time,
+    /// Until when the reply is awaited.
+    pub(super) until: Time,
 }
 
 /// All that is on its way.
@@ -42,7 +44,7 @@
     /// Adds a forward and returns its ticket.
     pub(super) fn add(&mut self, forward: Forward) -> Ticket {
         let ticket = next_ticket(&mut self.last);
-        self.expiries.insert((forward.deadline, ticket));
+        self.expiries.insert((forward.until, ticket));
         self.table.insert(ticket, forward);
         ticket
     }
@@ -58,15 +60,15 @@
 
     fn take(&mut self, ticket: Ticket) -> Option<Forward> {
         let forward = self.table.remove(&ticket)?;
-        self.expiries.remove(&(forward.deadline, ticket));
+        self.expiries.remove(&(forward.until, ticket));
         Some(forward)
     }
 
-    /// Takes the forwards whose deadline is over.
+    /// Takes the forwards whose reply is overdue.
     pub(super) fn expired(&mut self, now: Time) -> Vec<Forward> {
         let mut expired = Vec::new();
-        while let Some((deadline, ticket)) = self.expiries.first().copied() {
-            if deadline > now {
+        while let Some((until, ticket)) = self.expiries.first().copied() {
+            if until > now {
                 break;
             }
             expired.extend(self.take(ticket));
@@ -84,9 +86,16 @@
         self.take_where(|forward| forward.to == *entry)
     }
 
-    /// Takes the forwards to entries that are not in the ring.
-    pub(super) fn leave_ring(&mut self, ring: &Ring) -> Vec<Forward> {
-        self.take_where(|forward| !ring.contains(&forward.to))
+    /// Shortens the wait for entries that are not in the ring any more: one that left has answered
+    /// all it took, so that its replies are close behind.
+    pub(super) fn leave_ring(&mut self, ring: &Ring, until: Time) {
+        for (ticket, forward) in &mut self.table {
+            if !ring.contains(&forward.to) && forward.until > until {
+                self.expiries.remove(&(forward.until, *ticket));
+                forward.until = until;
+                self.expiries.insert((until, *ticket));
+            }
+        }
     }
 
     fn take_where(&mut self, lost: impl Fn(&Forward) -> bool) -> Vec<Forward> {
@@ -96,10 +105,10 @@
         tickets.into_iter().filter_map(|t| self.take(t)).collect()
     }
 
-    /// Returns when the next deadline is over.
+    /// Returns when the next reply is overdue.
     pub(super) fn next_expiry(&self) -> Time {
         let first = self.expiries.first();
-        first.map_or(Time::NEVER, |(deadline, _)| *deadline)
+        first.map_or(Time::NEVER, |(until, _)| *until)
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -86,7 +86,8 @@
             caller,
             to: to.clone(),
             passed: Passed::Submission(Box::new(submission.clone())),
-            deadline: deadline + REPLY_GRACE,
+            deadline,
+            until: deadline + REPLY_GRACE,
         });
         let submission = Box::new(submission);
         let message = PeerMessage::Submit { ticket, submission };
@@ -267,7 +268,7 @@
             Passed::Submission(submission) => self.held.add(Held {
                 caller: forward.caller,
                 submission: *submission,
-                deadline: forward.deadline - REPLY_GRACE,
+                deadline: forward.deadline,
                 look_at: now.mono + REROUTE,
             }),
             Passed::Query => self.reply(forward.caller, reply),
@@ -279,7 +280,7 @@
     /// An idempotent request is started here instead; anything else may have run.
     pub(super) fn lose_forward(&mut self, now: Now, forward: Forward) {
         if let Passed::Submission(submission) = &forward.passed {
-            let deadline = forward.deadline - REPLY_GRACE;
+            let deadline = forward.deadline;
             if self.may_take_over(submission) && deadline > now.mono {
                 let mut submission = submission.as_ref().clone();
                 submission.origin = Origin::Local;
@@ -302,6 +303,10 @@
     /// Answers for forwards whose reply is overdue.
     pub(super) fn expire_forwards(&mut self, now: Now) {
         for forward in self.forwards.expired(now.mono) {
+            if !self.ring().contains(&forward.to) {
+                self.lose_forward(now, forward);
+                continue;
+            }
             let refusal = failure(Verdict::MayHaveRun, Reason::Deadline, Some(SOON));
             self.refuse(forward.caller, refusal);
         }
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 
 use chervilring_wire::{
-    EntryId, Failure, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
+    EntryId, Failure, Micros, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
 };
 
 use crate::config::Config;
@@ -49,6 +49,9 @@
 /// How often demand is reported and the window of ids moved on, in microseconds.
 const HOUSEKEEPING: u64 = 250_000;
 
+/// How long the replies of an entry that left the ring are awaited.
+const LAST_REPLIES: Micros = Micros::from_secs(1);
+
 /// An entry, free of I/O.
 #[derive(Debug)]
 pub struct Entry {
@@ -236,14 +239,12 @@
         }
     }
 
-    /// Tells agents of a new ring and routes anew what was on its way to a former member.
+    /// Tells agents of a new ring, and waits no longer than needed for replies of former members.
     fn ring_changed(&mut self, now: Now, ring: &Ring) {
         self.steps
             .push(EntryStep::Change(Change::Ring(ring.version)));
         self.push_ring(ring);
-        for forward in self.forwards.leave_ring(ring) {
-            self.lose_forward(now, forward);
-        }
+        self.forwards.leave_ring(ring, now.mono + LAST_REPLIES);
     }
 
     /// Runs the dispatcher and carries out its steps.
@@ -313,7 +314,7 @@
 }
 
 /// Creates a failure with the span after which coming back is of use.
-fn failure(verdict: Verdict, reason: Reason, retry: Option<chervilring_wire::Micros>) -> Failure {
+fn failure(verdict: Verdict, reason: Reason, retry: Option<Micros>) -> Failure {
     Failure {
         verdict,
         reason,
--- a/crates/chervilring_core/src/entry/queries.rs
+++ b/crates/chervilring_core/src/entry/queries.rs
@@ -65,11 +65,13 @@
             Query::Wait(span) => span,
             Query::Show | Query::Cancel => Micros(0),
         };
+        let deadline = now.mono + span + QUERY_DEADLINE;
         let ticket = self.forwards.add(Forward {
             caller,
             to: to.clone(),
             passed: Passed::Query,
-            deadline: now.mono + span + QUERY_DEADLINE,
+            deadline,
+            until: deadline,
         });
         let message = PeerMessage::Query { ticket, id, query };
         self.steps.push(EntryStep::Peer { to, message });
