Learn run times per service and upstream, keep lanes by speed

Cause: without learnt speeds the first open lane was taken, however slow. The logarithm of a run time is the sum of the parts of service, upstream and task; priors come from the service and from the upstream's other services.

--- a/crates/chervilring_core/src/dispatch/agents.rs
+++ b/crates/chervilring_core/src/dispatch/agents.rs
@@ -3,6 +3,8 @@
 use chervilring_wire::{AgentId, AgentState, DomainName, Load, Name, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
+use super::speed::HostSpeed;
+
 /// Whether an agent is thought to be alive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Life {
@@ -39,6 +41,10 @@
     pub(crate) closed: Time,
     /// Whether it is thought to be alive.
     pub(crate) life: Life,
+    /// What is learnt of its upstream's speed.
+    pub(crate) speed: HostSpeed,
+    /// The round trip to it, in microseconds.
+    pub(crate) trip: f64,
     /// The lanes it has: row of the service, index in its pool.
     pub(crate) lanes: Vec<(usize, usize)>,
 }
@@ -60,6 +66,8 @@
             back_by: Time::NEVER,
             closed: Time::default(),
             life: Life::Alive,
+            speed: HostSpeed::default(),
+            trip: 0.0,
             lanes: Vec::new(),
         }
     }
--- a/crates/chervilring_core/src/dispatch/attempts.rs
+++ b/crates/chervilring_core/src/dispatch/attempts.rs
@@ -12,6 +12,8 @@
     pub(crate) service: usize,
     /// The lane of the agent in the service's pool.
     pub(crate) lane: usize,
+    /// When it was sent.
+    pub(crate) sent: Time,
     /// The row of its submission; absent once nobody waits for the answer.
     pub(crate) submission: Option<usize>,
     /// When it is forgotten, once nobody waits for the answer.
--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 };
 use rustc_hash::FxHashMap;
 
-use super::agents::{Agents, Life};
+use super::agents::{AgentRow, Agents, Life};
 use super::attempts::Attempts;
 use super::counters::DispatchCounters;
 use super::policy::Chooser;
@@ -21,6 +21,12 @@
 use super::work::{Step, Work};
 use crate::config::{Config, Service};
 
+/// The round trip assumed within the own failure domain, in microseconds.
+const NEAR_TRIP: f64 = 200.0;
+
+/// The round trip assumed to other failure domains, in microseconds.
+const FAR_TRIP: f64 = 2_000.0;
+
 /// A service and what waits for it.
 #[derive(Debug)]
 pub(crate) struct ServiceRow {
@@ -104,6 +110,10 @@
         row.life = Life::Alive;
         row.state = announce.state;
         row.domain = announce.domain.clone();
+        if row.trip == 0.0 {
+            let near = row.domain == self.settings.domain;
+            row.trip = if near { NEAR_TRIP } else { FAR_TRIP };
+        }
         if row.services != announce.services || row.labels != announce.labels {
             row.services.clone_from(&announce.services);
             row.labels.clone_from(&announce.labels);
@@ -233,7 +243,7 @@
             service: row.service.name.clone(),
             queued: row.queue.len(),
             teams: row.queue.teams(),
-            upstreams: row.pool.lanes.iter().filter(|l| l.usable).count(),
+            upstreams: row.pool.usable(),
         });
         let agents = self.agents.rows.iter().map(|row| AgentView {
             agent: row.id.clone(),
@@ -242,7 +252,7 @@
             slots: row.load.slots,
             own: row.own,
             others: row.others,
-            runs: Vec::new(),
+            runs: self.runs(row),
         });
         DispatchStatus {
             submissions: self.submissions.len(),
@@ -252,9 +262,21 @@
         }
     }
 
+    /// Returns the expected run times on an agent, in milliseconds.
+    fn runs(&self, row: &AgentRow) -> Vec<(ServiceName, f64)> {
+        let runs = row.lanes.iter().map(|&(service, lane)| {
+            let service = &self.services[service];
+            let speed = service.pool.lanes[lane].speed;
+            let run = speed.run(&service.pool.speed, &row.speed);
+            (service.service.name.clone(), run / 1_000.0)
+        });
+        runs.collect()
+    }
+
     /// Gives an agent a lane in each service that it does.
     pub(crate) fn match_services(&mut self, now: Time, agent: usize) {
         let row = &self.agents.rows[agent];
+        let mut lanes = row.lanes.clone();
         for (index, service) in self.services.iter_mut().enumerate() {
             let selector = &service.service.selector;
             let does = service.open
@@ -262,22 +284,10 @@
                 && selector.labels.iter().all(|l| row.labels.contains(l));
             let known = row.lanes.iter().any(|&(s, _)| s == index);
             if does && !known {
-                service.pool.lanes.push(Lane {
-                    agent,
-                    span: 200_000.0,
-                    mine: 0.0,
-                    open: 0,
-                    own: 0,
-                    fill: 0,
-                    usable: false,
-                });
+                let lane = service.pool.add(agent);
+                lanes.push((index, lane));
             }
         }
-        let lanes = self.services.iter().enumerate().filter_map(|(s, row)| {
-            let lane = row.pool.lanes.iter().position(|l| l.agent == agent)?;
-            Some((s, lane))
-        });
-        let lanes = lanes.collect();
         self.agents.rows[agent].lanes = lanes;
         self.refresh(now, agent);
     }
@@ -298,13 +308,16 @@
         for &(service, lane) in &row.lanes {
             let service = &mut self.services[service];
             let limit = service.service.limits.slots.unwrap_or(slots);
-            let lane = &mut service.pool.lanes[lane];
+            let (pool, index) = (&mut service.pool, lane);
+            let lane = &mut pool.lanes[index];
+            lane.span = row.trip + lane.speed.run(&pool.speed, &row.speed);
             lane.usable = usable;
             lane.mine = f64::from(slots.saturating_sub(row.others));
             lane.fill = (row.own + row.others) * 1_000 / slots.max(1);
             let room = free.min(limit.saturating_sub(lane.own));
             let room = if self.settings.policy.push { 1 } else { room };
             lane.open = if usable && now >= row.closed { room } else { 0 };
+            pool.settle(index);
         }
     }
 
--- a/crates/chervilring_core/src/dispatch/endings.rs
+++ b/crates/chervilring_core/src/dispatch/endings.rs
@@ -11,6 +11,9 @@
 /// How long an attempt that nobody waits for is remembered.
 const ORPHAN_SPAN: Micros = Micros::from_secs(2);
 
+/// How much a new round trip counts against the known one.
+const TRIP_SHARE: f64 = 0.125;
+
 impl Dispatcher {
     /// Takes in answers of an agent.
     pub fn answers(&mut self, now: Time, agent: &AgentId, answers: Vec<TaskAnswer>) {
@@ -44,6 +47,9 @@
         };
         match answer.outcome {
             TaskOutcome::Done(output) => {
+                let spent = Micros(answer.run.0 + answer.waited.0);
+                let trip = now.since(attempt.sent).0.saturating_sub(spent.0);
+                self.learn(&attempt, answer.run, trip as f64);
                 let Some(submission) = self.submissions.get_mut(index) else {
                     return;
                 };
@@ -61,6 +67,16 @@
         }
     }
 
+    /// Learns from an answer how fast the upstream is and how far away.
+    fn learn(&mut self, attempt: &Attempt, run: Micros, trip: f64) {
+        let row = &mut self.agents.rows[attempt.agent];
+        row.trip += (trip - row.trip) * TRIP_SHARE;
+        let pool = &mut self.services[attempt.service].pool;
+        let lane = &mut pool.lanes[attempt.lane];
+        lane.speed
+            .learn(&mut pool.speed, &mut row.speed, run.0 as f64);
+    }
+
     /// Deals with an attempt that did not bring an answer.
     pub(crate) fn fail_attempt(
         &mut self,
--- a/crates/chervilring_core/src/dispatch/mod.rs
+++ b/crates/chervilring_core/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod queue;
 mod settings;
+mod speed;
 mod starts;
 mod status;
 mod submissions;
--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -73,6 +73,7 @@
                 agent,
                 service,
                 lane,
+                sent: now,
                 submission: Some(index),
                 expiry: Time::NEVER,
             },
