--- a/crates/chervilring_dev/src/replay/measure.rs
+++ b/crates/chervilring_dev/src/replay/measure.rs
@@ -264,7 +264,7 @@
 }
 
 /// Returns the response that an empty system could give at best, in seconds.
-fn ideal(deployment: &Deployment, arrival: &Arrival) -> f64 {
+pub(crate) fn ideal(deployment: &Deployment, arrival: &Arrival) -> f64 {
     let runs = arrival.runs.iter().map(|&r| f64::from(r) / 1e6);
     let longest = runs.clone().fold(0.0, f64::max) * deployment.fastest();
     let all = match arrival.kind {
