--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -27,6 +27,9 @@
 /// The round trip assumed to other failure domains, in microseconds.
 const FAR_TRIP: f64 = 2_000.0;
 
+/// How many times its ideal response a submission is put back behind its arrival.
+const STRETCH: f64 = 4.0;
+
 /// A service and what waits for it.
 #[derive(Debug)]
 pub(crate) struct ServiceRow {
@@ -352,11 +355,12 @@
 
     /// Puts an accepted submission in the queue of its service.
     fn enqueue(&mut self, now: Time, service: usize, work: Work) {
-        let queue = &mut self.services[service].queue;
-        let team = queue.team(&work.team);
-        self.arrivals += 1;
-        let rank = (now, self.arrivals);
         let tasks = work.bodies.len();
+        let row = &mut self.services[service];
+        let ideal = row.pool.shortest().unwrap_or_default() + tasks as f64 / row.pool.rate().max(1e-9);
+        let team = row.queue.team(&work.team);
+        self.arrivals += 1;
+        let rank = (now + Micros((STRETCH * ideal) as u64), self.arrivals);
         let deadline = work.deadline;
         let index = self.submissions.insert(Submission {
             service,
