Rank all teams in one queue, with credit in place of turns

Turns between teams ignored rank: a large job of one team went before small work of another. Teams now earn credit at 1.25 of their even share; a team in debt ranks further back.

--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -27,9 +27,6 @@
 /// The round trip assumed to other failure domains, in microseconds.
 const FAR_TRIP: f64 = 2_000.0;
 
-/// How many times its ideal response a submission is put back behind its arrival.
-const STRETCH: f64 = 4.0;
-
 /// A service and what waits for it.
 #[derive(Debug)]
 pub(crate) struct ServiceRow {
@@ -57,8 +54,6 @@
     pub(crate) cancels: FxHashMap<usize, Vec<chervilring_wire::TaskKey>>,
     /// When the tables are next looked over for what has timed out.
     pub(crate) sweep_at: Time,
-    /// Counts accepted submissions, for their order.
-    pub(crate) arrivals: u64,
     pub(crate) counters: DispatchCounters,
 }
 
@@ -77,7 +72,6 @@
             steps: Vec::new(),
             cancels: FxHashMap::default(),
             sweep_at: Time::default(),
-            arrivals: 0,
             counters: DispatchCounters::default(),
         }
     }
@@ -357,10 +351,10 @@
     fn enqueue(&mut self, now: Time, service: usize, work: Work) {
         let tasks = work.bodies.len();
         let row = &mut self.services[service];
-        let ideal = row.pool.shortest().unwrap_or_default() + tasks as f64 / row.pool.rate().max(1e-9);
+        let rate = row.pool.rate();
+        let ideal = row.pool.shortest().unwrap_or_default() + tasks as f64 / rate.max(1e-9);
         let team = row.queue.team(&work.team);
-        self.arrivals += 1;
-        let rank = (now + Micros((STRETCH * ideal) as u64), self.arrivals);
+        let rank = row.queue.rank(now, team, tasks, ideal, rate);
         let deadline = work.deadline;
         let index = self.submissions.insert(Submission {
             service,
--- a/crates/chervilring_core/src/dispatch/queue.rs
+++ b/crates/chervilring_core/src/dispatch/queue.rs
@@ -1,26 +1,52 @@
-//! The queue of a service: fair between teams, ordered within each.
+//! The queue of a service: ordered by rank, and fair between teams.
+//!
+//! A submission ranks behind its arrival by a multiple of its expected ideal response, so that
+//! small work is not stuck behind large jobs. Each team earns credit at somewhat more than its even
+//! share of the rate and pays a task with each task that it submits; a team in debt ranks further
+//! back by the time it takes to earn that debt. Ranks are fixed at arrival, so nothing waits for
+//! ever, and they only order what waits: capacity that nobody else asks for goes to whoever does.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-use chervilring_wire::{TeamName, Time};
+use chervilring_wire::{Micros, TeamName, Time};
 use rustc_hash::FxHashMap;
 
-/// The submissions of one team that have tasks to be started.
+/// The place of a submission in the queue: by time, then by order of arrival.
+pub(crate) type Rank = (Time, u64);
+
+/// How many times its ideal response a submission is put back behind its arrival.
+const STRETCH: f64 = 4.0;
+
+/// What a team earns over its even share.
+const EARNED: f64 = 1.25;
+
+/// The credit a team can save, and the debt it can run up, in seconds of the whole rate.
+const SAVED: f64 = 4.0;
+
+/// How long a team counts as active after it has submitted something.
+const ACTIVE_SPAN: Micros = Micros::from_secs(5);
+
+/// A team that has submitted work.
 #[derive(Debug)]
 struct Team {
     name: TeamName,
-    ranked: BTreeMap<(Time, u64), usize>,
+    /// Tasks that wait.
     tasks: usize,
-    in_turn: bool,
+    /// Tasks it may submit before it is in debt.
+    credit: f64,
+    /// When it last submitted something.
+    seen: Time,
 }
 
-/// Submissions with tasks to be started. Teams take turns, one task at a time.
+/// Submissions with tasks to be started.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
+    ranked: BTreeMap<Rank, usize>,
+    tasks: usize,
     teams: Vec<Team>,
     index: FxHashMap<TeamName, usize>,
-    turns: VecDeque<usize>,
-    tasks: usize,
+    active: usize,
+    arrivals: u64,
 }
 
 impl Queue {
@@ -44,61 +70,71 @@
         self.index.insert(name.clone(), row);
         self.teams.push(Team {
             name: name.clone(),
-            ranked: BTreeMap::new(),
             tasks: 0,
-            in_turn: false,
+            credit: f64::INFINITY,
+            seen: Time::default(),
         });
         row
     }
 
-    /// Adds tasks of a submission, which may be in the queue already.
-    pub(crate) fn add(&mut self, team: usize, rank: (Time, u64), submission: usize, tasks: usize) {
+    /// Counts the teams that have submitted something lately.
+    pub(crate) fn count_active(&mut self, now: Time) {
+        let active = |t: &&Team| t.tasks > 0 || now.since(t.seen) < ACTIVE_SPAN;
+        self.active = self.teams.iter().filter(active).count();
+    }
+
+    /// Returns the rank of a new submission, and has its team pay for it.
+    ///
+    /// `ideal` is the expected ideal response in microseconds, `rate` the tasks finished in a
+    /// microsecond.
+    pub(crate) fn rank(
+        &mut self,
+        now: Time,
+        team: usize,
+        tasks: usize,
+        ideal: f64,
+        rate: f64,
+    ) -> Rank {
+        let share = rate * EARNED / self.active.max(1) as f64;
+        let most = rate * SAVED * 1e6;
         let row = &mut self.teams[team];
-        row.ranked.insert(rank, submission);
-        row.tasks += tasks;
+        let earned = now.since(row.seen).0 as f64 * share;
+        row.seen = now;
+        row.credit = (row.credit + earned).min(most) - tasks as f64;
+        row.credit = row.credit.max(-most);
+        let debt = (-row.credit).max(0.0) / share.max(f64::MIN_POSITIVE);
+        self.arrivals += 1;
+        let behind = (STRETCH * ideal + debt).min(1e12);
+        (now + Micros(behind as u64), self.arrivals)
+    }
+
+    /// Adds tasks of a submission, which may be in the queue already.
+    pub(crate) fn add(&mut self, team: usize, rank: Rank, submission: usize, tasks: usize) {
+        self.ranked.insert(rank, submission);
+        self.teams[team].tasks += tasks;
         self.tasks += tasks;
-        if !row.in_turn {
-            row.in_turn = true;
-            self.turns.push_back(team);
-        }
     }
 
     /// Returns the submission whose task is to be started next.
-    pub(crate) fn front(&mut self) -> Option<usize> {
-        while let Some(&team) = self.turns.front() {
-            let row = &mut self.teams[team];
-            if let Some((_, &submission)) = row.ranked.first_key_value() {
-                return Some(submission);
-            }
-            row.in_turn = false;
-            self.turns.pop_front();
-        }
-        None
+    pub(crate) fn front(&self) -> Option<usize> {
+        self.ranked
+            .first_key_value()
+            .map(|(_, &submission)| submission)
     }
 
-    /// Takes out one task of the submission at the front and passes the turn on; `last` tells
-    /// that the submission has no more of them.
-    pub(crate) fn take(&mut self, last: bool) {
-        let Some(team) = self.turns.pop_front() else {
-            return;
-        };
-        let row = &mut self.teams[team];
-        row.tasks -= 1;
+    /// Takes out one task of a submission; `last` tells that it has no more of them.
+    pub(crate) fn take(&mut self, team: usize, rank: Rank, last: bool) {
+        self.teams[team].tasks -= 1;
         self.tasks -= 1;
         if last {
-            row.ranked.pop_first();
-        }
-        row.in_turn = !row.ranked.is_empty();
-        if row.in_turn {
-            self.turns.push_back(team);
+            self.ranked.remove(&rank);
         }
     }
 
     /// Removes a submission with all of its tasks.
-    pub(crate) fn remove(&mut self, team: usize, rank: (Time, u64), tasks: usize) {
-        let row = &mut self.teams[team];
-        if row.ranked.remove(&rank).is_some() {
-            row.tasks -= tasks;
+    pub(crate) fn remove(&mut self, team: usize, rank: Rank, tasks: usize) {
+        if self.ranked.remove(&rank).is_some() {
+            self.teams[team].tasks -= tasks;
             self.tasks -= tasks;
         }
     }
--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -37,7 +37,8 @@
         };
         let lane = (self.settings.policy.choose)(&row.pool, &mut self.chooser, ask)?;
         submission.waiting.pop();
-        row.queue.take(submission.waiting.is_empty());
+        let last = submission.waiting.is_empty();
+        row.queue.take(submission.team, submission.rank, last);
         submission.tasks[task as usize].queued = false;
         let agent = row.pool.lanes[lane].agent;
         let start = self.send(now, index, task, lane);
--- a/crates/chervilring_core/src/dispatch/submissions.rs
+++ b/crates/chervilring_core/src/dispatch/submissions.rs
@@ -1,8 +1,9 @@
 //! The submissions in hand and their tasks.
 
-use chervilring_wire::{SubmissionId, TaskOutput, Time, Verdict};
+use chervilring_wire::{SubmissionId, TaskOutput, Verdict};
 use rustc_hash::FxHashMap;
 
+use super::queue::Rank;
 use super::work::Work;
 
 /// The place of a submission in the table; reused after it has ended.
@@ -31,8 +32,7 @@
     pub(crate) service: usize,
     /// The row of its team in the service's queue.
     pub(crate) team: usize,
-    /// Its place in the queue: by key, then by order of arrival.
-    pub(crate) rank: (Time, u64),
+    pub(crate) rank: Rank,
     pub(crate) tasks: Vec<Task>,
     /// Tasks to be started, the next one last.
     pub(crate) waiting: Vec<u32>,
--- a/crates/chervilring_core/src/dispatch/upkeep.rs
+++ b/crates/chervilring_core/src/dispatch/upkeep.rs
@@ -24,6 +24,9 @@
     pub(crate) fn sweep(&mut self, now: Time) {
         self.sweep_at = now + SWEEP_SPAN;
         self.forget_orphans(now);
+        for service in &mut self.services {
+            service.queue.count_active(now);
+        }
         for agent in 0..self.agents.rows.len() {
             let row = &mut self.agents.rows[agent];
             let silence = now.since(row.heard);
