--- a/crates/chervilring_core/src/dispatch/policy.rs
+++ b/crates/chervilring_core/src/dispatch/policy.rs
@@ -11,6 +11,22 @@
     pub(crate) avoid: Option<usize>,
 }
 
+/// A choice.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pick {
+    /// The lane.
+    pub(crate) lane: usize,
+    /// Tasks at the front of the queue that do better to wait for other lanes.
+    pub(crate) skip: usize,
+}
+
+impl Pick {
+    /// Picks a lane for the task at the front of the queue.
+    fn front(lane: usize) -> Self {
+        Self { lane, skip: 0 }
+    }
+}
+
 /// A generator of pseudo-random numbers (xorshift), and the place in a round.
 #[derive(Debug, Clone)]
 pub(crate) struct Chooser {
@@ -40,8 +56,8 @@
     pub name: &'static str,
     /// Whether tasks are sent to upstreams without a free slot, to wait there.
     pub(crate) push: bool,
-    /// Picks a lane for the task at the front of the queue; none lets it wait.
-    pub(crate) choose: fn(&Pool, &mut Chooser, Ask) -> Option<usize>,
+    /// Picks a lane for a task of the queue; none lets all wait.
+    pub(crate) choose: fn(&Pool, &mut Chooser, Ask) -> Option<Pick>,
 }
 
 impl Default for Policy {
@@ -85,7 +101,7 @@
             push: true,
             choose: |pool, chooser, ask| {
                 let open = pool.open(ask.avoid);
-                (!open.is_empty()).then(|| open[chooser.below(open.len())])
+                (!open.is_empty()).then(|| Pick::front(open[chooser.below(open.len())]))
             },
         }
     }
@@ -98,7 +114,8 @@
             choose: |pool, chooser, ask| {
                 let open = pool.open(ask.avoid);
                 chooser.turn += 1;
-                open.get(chooser.turn % open.len().max(1)).copied()
+                let lane = open.get(chooser.turn % open.len().max(1));
+                lane.copied().map(Pick::front)
             },
         }
     }
@@ -115,7 +132,7 @@
                     .into_iter()
                     .filter(|&l| pool.fill(l) == least)
                     .collect();
-                Some(ties[chooser.below(ties.len())])
+                Some(Pick::front(ties[chooser.below(ties.len())]))
             },
         }
     }
@@ -132,11 +149,12 @@
                 }
                 let one = open[chooser.below(open.len())];
                 let two = open[chooser.below(open.len())];
-                Some(if pool.fill(two) < pool.fill(one) {
+                let lane = if pool.fill(two) < pool.fill(one) {
                     two
                 } else {
                     one
-                })
+                };
+                Some(Pick::front(lane))
             },
         }
     }
@@ -148,7 +166,7 @@
             push: false,
             choose: |pool, chooser, ask| {
                 let open = pool.open(ask.avoid);
-                (!open.is_empty()).then(|| open[chooser.below(open.len())])
+                (!open.is_empty()).then(|| Pick::front(open[chooser.below(open.len())]))
             },
         }
     }
--- a/crates/chervilring_core/src/dispatch/pool.rs
+++ b/crates/chervilring_core/src/dispatch/pool.rs
@@ -3,7 +3,7 @@
 //! Lanes are kept in buckets of about equal speed, so that a choice looks at buckets and at a few
 //! lanes of one bucket, however many upstreams there are.
 
-use super::policy::Ask;
+use super::policy::{Ask, Pick};
 use super::speed::{LaneSpeed, ServiceSpeed};
 
 /// Buckets for each doubling of the span.
@@ -168,17 +168,18 @@
         self.lanes[lane].fill
     }
 
-    /// Returns the open lane with the earliest expected finish, unless waiting for a faster one
-    /// promises an earlier finish to the task at the end of the queue.
+    /// Returns the open lane with the earliest expected finish, for the first task in the queue that
+    /// would finish later if it waited for a faster one.
     ///
     /// Faster lanes are full. Over the span of the candidate they finish `span * rate` tasks; all
     /// but the last `slots` of these have been started early enough to be done by then.
-    pub(crate) fn earliest(&self, ask: Ask) -> Option<usize> {
+    pub(crate) fn earliest(&self, ask: Ask) -> Option<Pick> {
         let (mut slots, mut rate) = (0.0, 0.0);
         for bucket in &self.buckets {
             if let Some(lane) = self.best(bucket, ask.avoid) {
                 let ahead = self.lanes[lane].span * rate - slots;
-                return (ask.queued as f64 > ahead).then_some(lane);
+                let skip = ahead.max(0.0) as usize;
+                return (ask.queued as f64 > ahead).then_some(Pick { lane, skip });
             }
             slots += bucket.slots;
             rate += bucket.rate;
--- a/crates/chervilring_core/src/dispatch/queue.rs
+++ b/crates/chervilring_core/src/dispatch/queue.rs
@@ -122,6 +122,11 @@
             .map(|(_, &submission)| submission)
     }
 
+    /// Returns the submissions in order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = usize> {
+        self.ranked.values().copied()
+    }
+
     /// Takes out one task of a submission; `last` tells that it has no more of them.
     pub(crate) fn take(&mut self, team: usize, rank: Rank, last: bool) {
         self.teams[team].tasks -= 1;
--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -7,6 +7,9 @@
 use super::policy::Ask;
 use super::work::Step;
 
+/// Submissions that a slow upstream's task may pass over.
+const PASSED_OVER: usize = 64;
+
 impl Dispatcher {
     /// Starts tasks for as long as the policy finds upstreams for them.
     pub(crate) fn start(&mut self, now: Time) {
@@ -27,15 +30,19 @@
 
     /// Starts the task at the front of a service's queue, when there is an upstream for it.
     fn start_one(&mut self, now: Time, service: usize) -> Option<(usize, TaskStart)> {
-        let row = &mut self.services[service];
-        let index = row.queue.front()?;
-        let submission = self.submissions.get_mut(index)?;
-        let &task = submission.waiting.last()?;
+        let row = &self.services[service];
+        let front = self.submissions.get(row.queue.front()?)?;
+        let &task = front.waiting.last()?;
         let ask = Ask {
             queued: row.queue.len(),
-            avoid: submission.tasks[task as usize].last,
+            avoid: front.tasks[task as usize].last,
         };
-        let lane = (self.settings.policy.choose)(&row.pool, &mut self.chooser, ask)?;
+        let pick = (self.settings.policy.choose)(&row.pool, &mut self.chooser, ask)?;
+        let lane = pick.lane;
+        let index = self.skip(service, pick.skip)?;
+        let row = &mut self.services[service];
+        let submission = self.submissions.get_mut(index)?;
+        let &task = submission.waiting.last()?;
         submission.waiting.pop();
         let last = submission.waiting.is_empty();
         row.queue.take(submission.team, submission.rank, last);
@@ -46,6 +53,21 @@
         Some((agent, start))
     }
 
+    /// Returns the submission that has the task behind the first `skip` ones of the queue.
+    fn skip(&self, service: usize, skip: usize) -> Option<usize> {
+        let mut left = skip;
+        let mut found = None;
+        for index in self.services[service].queue.iter().take(PASSED_OVER) {
+            found = Some(index);
+            let waiting = self.submissions.get(index)?.waiting.len();
+            if waiting > left {
+                break;
+            }
+            left -= waiting;
+        }
+        found
+    }
+
     /// Notes an attempt and returns what the agent is to be sent.
     pub(crate) fn send(&mut self, now: Time, index: usize, task: u32, lane: usize) -> TaskStart {
         let submission = self
