--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/budget.rs
@@ -0,0 +1,35 @@
+//! Budgets for second attempts.
+
+/// Second attempts that a budget can save up.
+const SAVED: f64 = 10.0;
+
+/// Allows second attempts as a share of the first ones.
+///
+/// Only the home of a submission sends second attempts; forwarding entries and agents never do, so
+/// that the share holds for the whole path.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Budget {
+    saved: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { saved: SAVED }
+    }
+}
+
+impl Budget {
+    /// Earns from a first attempt, with the share in percent.
+    pub(crate) fn earn(&mut self, percent: u32) {
+        self.saved = (self.saved + f64::from(percent) / 100.0).min(SAVED);
+    }
+
+    /// Pays for a second attempt; returns whether it may be sent.
+    pub(crate) fn spend(&mut self, percent: u32) -> bool {
+        if percent == 0 || self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -4,17 +4,19 @@
 use std::sync::Arc;
 
 use chervilring_wire::{
-    AgentId, AgentState, Announce, EntryId, Failure, Kind, Load, Micros, Progress, Reason,
-    ServiceName, SubmissionId, TeamName, Time, Verdict,
+    AgentId, Announce, EntryId, Failure, Kind, Load, Progress, Reason, ServiceName, SubmissionId,
+    TaskKey, TeamName, Time, Verdict,
 };
 use rustc_hash::FxHashMap;
 
 use super::agents::{AgentRow, Agents, Life};
 use super::attempts::Attempts;
+use super::budget::Budget;
 use super::counters::DispatchCounters;
 use super::policy::Chooser;
-use super::pool::{Lane, Pool};
+use super::pool::Pool;
 use super::queue::Queue;
+use super::quota::{Demand, Quotas};
 use super::settings::DispatchSettings;
 use super::status::{AgentView, DispatchStatus, ServiceStatus};
 use super::submissions::{Submission, Submissions, Task};
@@ -35,6 +37,11 @@
     pub(crate) open: bool,
     pub(crate) queue: Queue,
     pub(crate) pool: Pool,
+    pub(crate) quotas: Quotas,
+    /// Pays for attempts after one that may have run.
+    pub(crate) retries: Budget,
+    /// Pays for attempts beside one that is running.
+    pub(crate) hedges: Budget,
 }
 
 /// Queues submissions and sends their tasks to agents.
@@ -49,11 +56,18 @@
     pub(crate) attempts: Attempts,
     /// Submissions by their deadlines.
     pub(crate) deadlines: BTreeSet<(Time, usize)>,
+    /// When attempts that may be hedged will be overdue.
+    pub(crate) hedges: BTreeSet<(Time, TaskKey)>,
+    pub(crate) demand: Demand,
+    /// Bytes of the bodies in hand.
+    pub(crate) bytes: u64,
     pub(crate) steps: Vec<Step>,
     /// Attempts to be cancelled, by row of the agent.
-    pub(crate) cancels: FxHashMap<usize, Vec<chervilring_wire::TaskKey>>,
+    pub(crate) cancels: FxHashMap<usize, Vec<TaskKey>>,
     /// When the tables are next looked over for what has timed out.
     pub(crate) sweep_at: Time,
+    /// When lanes without work next forget what was learnt.
+    pub(crate) slow_at: Time,
     pub(crate) counters: DispatchCounters,
 }
 
@@ -69,9 +83,13 @@
             submissions: Submissions::default(),
             attempts: Attempts::default(),
             deadlines: BTreeSet::new(),
+            hedges: BTreeSet::new(),
+            demand: Demand::default(),
+            bytes: 0,
             steps: Vec::new(),
             cancels: FxHashMap::default(),
             sweep_at: Time::default(),
+            slow_at: Time::default(),
             counters: DispatchCounters::default(),
         }
     }
@@ -92,6 +110,9 @@
                 open: true,
                 queue: Queue::default(),
                 pool: Pool::default(),
+                quotas: Quotas::default(),
+                retries: Budget::default(),
+                hedges: Budget::default(),
             });
         }
         for agent in 0..self.agents.rows.len() {
@@ -172,6 +193,11 @@
             }
             Err((reason, retry)) => {
                 self.counters.refused += 1;
+                match reason {
+                    Reason::Overload | Reason::Deadline => self.counters.shed += 1,
+                    Reason::Quota => self.counters.quota += 1,
+                    _ => {}
+                }
                 Err(Failure {
                     verdict: Verdict::NotRun,
                     reason,
@@ -189,13 +215,15 @@
         }
     }
 
-    /// Returns what each team asked lately, in tasks a second.
-    pub fn demand(&self, _now: Time) -> Vec<(TeamName, u32)> {
-        Vec::new()
+    /// Returns what each team with a quota asked lately, in tasks a second.
+    pub fn demand(&self, now: Time) -> Vec<(TeamName, u32)> {
+        self.demand.report(now)
     }
 
     /// Takes in what each team asked of a peer lately.
-    pub fn peer_demand(&mut self, _now: Time, _entry: &EntryId, _demand: &[(TeamName, u32)]) {}
+    pub fn peer_demand(&mut self, now: Time, entry: &EntryId, demand: &[(TeamName, u32)]) {
+        self.demand.hear(now, entry, demand);
+    }
 
     /// Runs the systems; starts nothing at or after `authority`, nor without one.
     pub fn run(&mut self, now: Time, authority: Option<Time>) -> Vec<Step> {
@@ -214,7 +242,8 @@
     pub fn wake_at(&self) -> Time {
         let deadline = self.deadlines.first().map_or(Time::NEVER, |d| d.0);
         if self.steps.is_empty() && self.cancels.is_empty() {
-            deadline.min(self.sweep_at)
+            let hedge = self.hedges.first().map_or(Time::NEVER, |h| h.0);
+            deadline.min(hedge).min(self.sweep_at)
         } else {
             Time::default()
         }
@@ -279,8 +308,13 @@
             let does = service.open
                 && row.services.contains(&service.service.name)
                 && selector.labels.iter().all(|l| row.labels.contains(l));
-            let known = row.lanes.iter().any(|&(s, _)| s == index);
-            if does && !known {
+            let known = lanes.iter().position(|&(s, _)| s == index);
+            if let (false, Some(place)) = (does, known)
+                && service.pool.lanes[lanes[place].1].own == 0
+            {
+                service.pool.remove(lanes.swap_remove(place).1);
+            }
+            if does && known.is_none() {
                 let lane = service.pool.add(agent);
                 lanes.push((index, lane));
             }
@@ -308,45 +342,18 @@
             let (pool, index) = (&mut service.pool, lane);
             let lane = &mut pool.lanes[index];
             lane.span = row.trip + lane.speed.run(&pool.speed, &row.speed);
-            lane.usable = usable;
+            lane.usable = usable && !lane.health.is_out();
             lane.mine = f64::from(slots.saturating_sub(row.others));
             lane.fill = (row.own + row.others) * 1_000 / slots.max(1);
-            let room = free.min(limit.saturating_sub(lane.own));
+            let most = limit.min(lane.health.window());
+            let room = free.min(most.saturating_sub(lane.own));
             let room = if self.settings.policy.push { 1 } else { room };
-            lane.open = if usable && now >= row.closed { room } else { 0 };
+            let open = lane.usable && now >= row.closed;
+            lane.open = if open { room } else { 0 };
             pool.settle(index);
         }
     }
 
-    /// Checks whether a submission can be accepted; returns the row of its service.
-    fn admit(&self, now: Time, work: &Work) -> Result<usize, (Reason, Option<Micros>)> {
-        let row = self.names.get(&work.service).copied();
-        let Some(index) = row.filter(|&r| self.services[r].open) else {
-            return Err((Reason::UnknownService, None));
-        };
-        let row = &self.services[index];
-        let limits = &row.service.limits;
-        let tasks = work.bodies.len();
-        let bytes = work.bodies.iter().map(|b| b.len() as u64).max();
-        if tasks > limits.tasks as usize || bytes.is_some_and(|b| b > limits.body_bytes) {
-            return Err((Reason::TooLarge, None));
-        }
-        if self.submissions.find(work.id).is_some() {
-            return Err((Reason::IdReused, None));
-        }
-        if work.deadline <= now {
-            return Err((Reason::Deadline, None));
-        }
-        let does = |l: &Lane| self.agents.rows[l.agent].state != AgentState::Down;
-        if !row.pool.lanes.iter().any(does) {
-            return Err((Reason::NoUpstream, Some(Micros::from_secs(1))));
-        }
-        if row.queue.len() + tasks > limits.queue as usize {
-            return Err((Reason::Overload, Some(Micros::from_secs(1))));
-        }
-        Ok(index)
-    }
-
     /// Puts an accepted submission in the queue of its service.
     fn enqueue(&mut self, now: Time, service: usize, work: Work) {
         let tasks = work.bodies.len();
@@ -356,6 +363,7 @@
         let team = row.queue.team(&work.team);
         let rank = row.queue.rank(now, team, tasks, ideal, rate);
         let deadline = work.deadline;
+        self.bytes += work.bytes();
         let index = self.submissions.insert(Submission {
             service,
             team,
@@ -369,7 +377,7 @@
         });
         self.deadlines.insert((deadline, index));
         if tasks == 0 {
-            self.complete(index);
+            self.complete(now, index);
             return;
         }
         self.services[service].queue.add(team, rank, index, tasks);
--- a/crates/chervilring_core/src/dispatch/endings.rs
+++ b/crates/chervilring_core/src/dispatch/endings.rs
@@ -1,11 +1,12 @@
 //! The system that takes in answers and ends submissions.
 
 use chervilring_wire::{
-    AgentId, Failure, Micros, Reason, TaskAnswer, TaskKey, TaskOutcome, Time, Verdict,
+    AgentId, AgentState, Failure, Micros, Reason, TaskAnswer, TaskKey, TaskOutcome, Time, Verdict,
 };
 
 use super::attempts::Attempt;
 use super::dispatcher::Dispatcher;
+use super::submissions::Submission;
 use super::work::Step;
 
 /// How long an attempt that nobody waits for is remembered.
@@ -14,6 +15,22 @@
 /// How much a new round trip counts against the known one.
 const TRIP_SHARE: f64 = 0.125;
 
+/// How often a task is refused by agents before it is given up.
+const MAX_BOUNCES: u32 = 20;
+
+/// How long an agent gets no new work after a refusal that does not say.
+const PAUSE: Micros = Micros::from_millis(5);
+
+/// How long an agent gets no new work after a refusal, at least.
+const SHORTEST_PAUSE: Micros = Micros::from_millis(1);
+
+/// How long an agent gets no new work after a refusal, at most.
+const LONGEST_PAUSE: Micros = Micros::from_millis(500);
+
+/// How many times its expected span an attempt that ran into its deadline must have taken for the
+/// upstream to be blamed.
+const OVERDUE: f64 = 6.0;
+
 impl Dispatcher {
     /// Takes in answers of an agent.
     pub fn answers(&mut self, now: Time, agent: &AgentId, answers: Vec<TaskAnswer>) {
@@ -43,38 +60,47 @@
         self.forget(answer.key, &attempt);
         let Some(index) = attempt.submission else {
             self.counters.late += 1;
+            let lane = &mut self.services[attempt.service].pool.lanes[attempt.lane];
+            lane.health.end_trial();
             return;
         };
         match answer.outcome {
             TaskOutcome::Done(output) => {
                 let spent = Micros(answer.run.0 + answer.waited.0);
                 let trip = now.since(attempt.sent).0.saturating_sub(spent.0);
-                self.learn(&attempt, answer.run, trip as f64);
+                self.learn(now, &attempt, answer.run, trip as f64);
                 let Some(submission) = self.submissions.get_mut(index) else {
                     return;
                 };
                 submission.verdict = Verdict::Ran;
+                if answer.key.attempt.0 > 0 && submission.live > 0 {
+                    self.counters.rescued += 1;
+                }
                 let task = &mut submission.tasks[answer.key.index.0 as usize];
                 task.output = Some(output);
                 submission.done += 1;
                 if submission.done as usize == submission.tasks.len() {
-                    self.complete(index);
+                    self.complete(now, index);
                 }
             }
             TaskOutcome::Failed(failure) => {
+                self.blame(now, &attempt, &failure);
                 self.fail_attempt(now, index, answer.key, &attempt, &failure);
             }
         }
     }
 
     /// Learns from an answer how fast the upstream is and how far away.
-    fn learn(&mut self, attempt: &Attempt, run: Micros, trip: f64) {
+    fn learn(&mut self, now: Time, attempt: &Attempt, run: Micros, trip: f64) {
         let row = &mut self.agents.rows[attempt.agent];
         row.trip += (trip - row.trip) * TRIP_SHARE;
         let pool = &mut self.services[attempt.service].pool;
         let lane = &mut pool.lanes[attempt.lane];
         lane.speed
             .learn(&mut pool.speed, &mut row.speed, run.0 as f64);
+        if lane.health.answered(now, &mut pool.failures) {
+            self.restore(now, attempt.service, attempt.lane);
+        }
     }
 
     /// Deals with an attempt that did not bring an answer.
@@ -90,25 +116,98 @@
             return;
         };
         submission.verdict = submission.verdict.max(failure.verdict);
+        let repeatable = Self::repeatable(submission);
+        let task = &mut submission.tasks[key.index.0 as usize];
+        if task.live > 0 {
+            // Another attempt at it is running.
+            return;
+        }
         if failure.verdict == Verdict::NotRun {
-            self.counters.bounced += 1;
-            let pause = failure.retry.unwrap_or(Micros::from_millis(5));
-            let row = &mut self.agents.rows[attempt.agent];
-            row.closed = row.closed.max(now + pause);
-            self.sweep_at = self.sweep_at.min(row.closed);
+            task.bounces += 1;
+            if failure.reason == Reason::Deadline || task.bounces > MAX_BOUNCES {
+                self.give_up(now, index, failure.reason, failure.retry);
+                return;
+            }
+            self.requeue(index, key.index.0);
+            return;
+        }
+        let again = repeatable && is_passing(failure.reason);
+        let row = &mut self.services[attempt.service];
+        if again && row.retries.spend(row.service.rules.retry_percent) {
+            self.counters.retried += 1;
             self.requeue(index, key.index.0);
             return;
         }
         self.give_up(now, index, failure.reason, failure.retry);
     }
 
+    /// Notes what a failed attempt says of the upstream.
+    pub(crate) fn blame(&mut self, now: Time, attempt: &Attempt, failure: &Failure) {
+        let row = &mut self.agents.rows[attempt.agent];
+        if failure.verdict == Verdict::NotRun {
+            self.counters.bounced += 1;
+            let pause = failure
+                .retry
+                .unwrap_or(PAUSE)
+                .clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
+            match failure.reason {
+                Reason::Leaving => row.state = AgentState::Leaving,
+                Reason::Unavailable => row.state = AgentState::Down,
+                Reason::Cancelled | Reason::Deadline => return,
+                _ => row.closed = row.closed.max(now + pause),
+            }
+            self.sweep_at = self.sweep_at.min(row.closed.max(now));
+            let lane = &mut self.services[attempt.service].pool.lanes[attempt.lane];
+            lane.health.end_trial();
+            return;
+        }
+        let slots = row.load.slots;
+        let pool = &mut self.services[attempt.service].pool;
+        let lane = &mut pool.lanes[attempt.lane];
+        let overdue = now.since(attempt.sent).0 as f64 > lane.span * OVERDUE;
+        let bad = match failure.reason {
+            Reason::UpstreamFailed | Reason::UpstreamLost => true,
+            Reason::Deadline => overdue,
+            _ => false,
+        };
+        if !bad {
+            lane.health.end_trial();
+            return;
+        }
+        if lane.health.failed(now, slots, &mut pool.failures) {
+            self.eject(now, attempt.service, attempt.lane);
+        }
+    }
+
+    /// Takes a lane out, unless too many are out already.
+    pub(crate) fn eject(&mut self, now: Time, service: usize, lane: usize) {
+        let pool = &mut self.services[service].pool;
+        let most = pool.len() * self.settings.ejected_percent as usize / 100;
+        if pool.out.len() >= most {
+            return;
+        }
+        pool.out.push(lane);
+        pool.lanes[lane].health.put_out(now);
+        self.counters.ejected += 1;
+        let agent = pool.lanes[lane].agent;
+        self.refresh(now, agent);
+    }
+
+    /// Takes a lane back in.
+    pub(crate) fn restore(&mut self, now: Time, service: usize, lane: usize) {
+        let pool = &mut self.services[service].pool;
+        pool.out.retain(|&l| l != lane);
+        self.counters.restored += 1;
+        let agent = pool.lanes[lane].agent;
+        self.refresh(now, agent);
+    }
+
     /// Puts a task back in the queue, in its submission's old place.
     pub(crate) fn requeue(&mut self, index: usize, task: u32) {
         let Some(submission) = self.submissions.get_mut(index) else {
             return;
         };
         submission.waiting.push(task);
-        submission.tasks[task as usize].queued = true;
         let (team, rank) = (submission.team, submission.rank);
         let queue = &mut self.services[submission.service].queue;
         queue.add(team, rank, index, 1);
@@ -128,11 +227,13 @@
     }
 
     /// Ends a submission with the outputs of all of its tasks.
-    pub(crate) fn complete(&mut self, index: usize) {
+    pub(crate) fn complete(&mut self, now: Time, index: usize) {
         let Some(submission) = self.submissions.remove(index) else {
             return;
         };
         self.counters.completed += 1;
+        self.bytes -= submission.work.bytes();
+        self.drop_all(now, &submission);
         self.deadlines.remove(&(submission.work.deadline, index));
         let outputs = submission.tasks.into_iter().filter_map(|t| t.output);
         self.steps.push(Step::Ended {
@@ -157,11 +258,8 @@
         let verdict = submission.verdict_now();
         let queue = &mut self.services[submission.service].queue;
         queue.remove(submission.team, submission.rank, submission.waiting.len());
-        for (place, task) in submission.tasks.iter().enumerate() {
-            if task.live > 0 {
-                self.drop_attempts(now, submission.work.id, place as u32, task.tries);
-            }
-        }
+        self.bytes -= submission.work.bytes();
+        self.drop_all(now, &submission);
         self.steps.push(Step::Ended {
             id: submission.work.id,
             result: Err(Failure {
@@ -172,6 +270,18 @@
         });
     }
 
+    /// Asks agents to drop what is left of a submission.
+    fn drop_all(&mut self, now: Time, submission: &Submission) {
+        if submission.live == 0 {
+            return;
+        }
+        for (place, task) in submission.tasks.iter().enumerate() {
+            if task.live > 0 {
+                self.drop_attempts(now, submission.work.id, place as u32, task.tries);
+            }
+        }
+    }
+
     /// Asks agents to drop the attempts at a task that are still there.
     pub(crate) fn drop_attempts(
         &mut self,
@@ -206,3 +316,11 @@
         }
     }
 }
+
+/// Returns whether another attempt may fare better.
+fn is_passing(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::UpstreamFailed | Reason::UpstreamLost | Reason::AnswerGone
+    )
+}
--- a/crates/chervilring_core/src/dispatch/mod.rs
+++ b/crates/chervilring_core/src/dispatch/mod.rs
@@ -1,13 +1,18 @@
 //! Queues and the choice of an upstream for each task.
 
+mod admission;
 mod agents;
 mod attempts;
+mod budget;
 mod counters;
 mod dispatcher;
 mod endings;
+mod health;
+mod hedges;
 mod policy;
 mod pool;
 mod queue;
+mod quota;
 mod settings;
 mod speed;
 mod starts;
--- a/crates/chervilring_core/src/dispatch/pool.rs
+++ b/crates/chervilring_core/src/dispatch/pool.rs
@@ -3,6 +3,7 @@
 //! Lanes are kept in buckets of about equal speed, so that a choice looks at buckets and at a few
 //! lanes of one bucket, however many upstreams there are.
 
+use super::health::{FailureShare, Health};
 use super::policy::{Ask, Pick};
 use super::speed::{LaneSpeed, ServiceSpeed};
 
@@ -26,6 +27,8 @@
 pub(crate) struct Lane {
     /// The row of the agent.
     pub(crate) agent: usize,
+    /// How well it does.
+    pub(crate) health: Health,
     /// What is learnt of its run times.
     pub(crate) speed: LaneSpeed,
     /// Expected span of a task on an empty slot, in microseconds, round trip included.
@@ -63,6 +66,10 @@
 pub(crate) struct Pool {
     pub(crate) lanes: Vec<Lane>,
     pub(crate) speed: ServiceSpeed,
+    /// How often answers are failures, over all lanes.
+    pub(crate) failures: FailureShare,
+    /// Lanes that were taken out as sick.
+    pub(crate) out: Vec<usize>,
     buckets: Vec<Bucket>,
     vacant: Vec<usize>,
     usable: usize,
@@ -73,6 +80,8 @@
         Self {
             lanes: Vec::new(),
             speed: ServiceSpeed::default(),
+            failures: FailureShare::default(),
+            out: Vec::new(),
             buckets: vec![Bucket::default(); BUCKETS],
             vacant: Vec::new(),
             usable: 0,
@@ -91,10 +100,13 @@
         self.buckets.iter().map(|b| b.rate).sum::<f64>().max(0.0)
     }
 
-    /// Returns the expected span of a task on the fastest lane.
+    /// Returns the expected span of a task on the fastest lanes.
     pub(crate) fn shortest(&self) -> Option<f64> {
-        let lanes = self.lanes.iter().filter(|l| l.usable);
-        lanes.map(|l| l.span).min_by(f64::total_cmp)
+        let mut usable = self
+            .buckets
+            .iter()
+            .filter(|b| b.rate > 0.0 && b.slots > 0.01);
+        usable.next().map(|b| b.slots / b.rate)
     }
 
     /// Adds a lane for an agent and returns its index.
@@ -111,6 +123,20 @@
         index
     }
 
+    /// Takes a lane away.
+    pub(crate) fn remove(&mut self, index: usize) {
+        self.lanes[index].usable = false;
+        self.settle(index);
+        self.out.retain(|&l| l != index);
+        self.lanes[index].agent = usize::MAX;
+        self.vacant.push(index);
+    }
+
+    /// Returns how many lanes there are.
+    pub(crate) fn len(&self) -> usize {
+        self.lanes.len() - self.vacant.len()
+    }
+
     /// Puts a lane where its state belongs, after a change.
     pub(crate) fn settle(&mut self, index: usize) {
         self.unlist(index);
--- /dev/null
+++ b/crates/chervilring_core/src/dispatch/quota.rs
@@ -0,0 +1,152 @@
+//! Quotas of teams, split over the entries by what each is asked for.
+
+use chervilring_wire::{EntryId, Micros, TeamName, Time};
+use rustc_hash::FxHashMap;
+
+use crate::config::Quota;
+
+/// Over which span demand is counted.
+const WINDOW: Micros = Micros::from_secs(1);
+
+/// How long a peer's report of demand counts.
+const REPORT_SPAN: Micros = Micros::from_secs(5);
+
+/// What a team asks of this entry.
+#[derive(Debug, Default)]
+struct Asked {
+    rate: f64,
+    count: f64,
+    since: Time,
+}
+
+/// What a peer is asked for.
+#[derive(Debug)]
+struct Report {
+    at: Time,
+    teams: FxHashMap<TeamName, u32>,
+}
+
+/// What teams ask, here and at the peers.
+#[derive(Debug, Default)]
+pub(crate) struct Demand {
+    asked: FxHashMap<TeamName, Asked>,
+    peers: FxHashMap<EntryId, Report>,
+}
+
+impl Demand {
+    /// Notes that a team asked for tasks.
+    pub(crate) fn ask(&mut self, now: Time, team: &TeamName, tasks: usize) {
+        let asked = self.asked.entry(team.clone()).or_default();
+        asked.roll(now);
+        asked.count += tasks as f64;
+    }
+
+    /// Returns what each team asks here, in tasks a second.
+    pub(crate) fn report(&self, now: Time) -> Vec<(TeamName, u32)> {
+        let rates = self.asked.iter().map(|(t, a)| (t, a.rate_at(now)));
+        let mut report: Vec<_> = rates
+            .filter(|(_, rate)| *rate >= 0.5)
+            .map(|(team, rate)| (team.clone(), rate.ceil() as u32))
+            .collect();
+        report.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        report
+    }
+
+    /// Takes in a peer's report.
+    pub(crate) fn hear(&mut self, now: Time, entry: &EntryId, demand: &[(TeamName, u32)]) {
+        let teams = demand.iter().cloned().collect();
+        self.peers.insert(entry.clone(), Report { at: now, teams });
+    }
+
+    /// Forgets peers that have gone silent and teams that ask no more.
+    pub(crate) fn forget(&mut self, now: Time) {
+        self.peers.retain(|_, r| now.since(r.at) < REPORT_SPAN);
+        self.asked
+            .retain(|_, a| a.rate_at(now) >= 0.1 || now.since(a.since) < REPORT_SPAN);
+    }
+
+    /// Returns the share of a team's quota that this entry may give out.
+    ///
+    /// All entries together never give out more than the whole, but for the delay of the reports:
+    /// each counts one task a second more than it was asked for, so that a team which begins to ask
+    /// finds something everywhere.
+    fn share(&self, now: Time, team: &TeamName) -> f64 {
+        let here = self.asked.get(team).map_or(0.0, |a| a.rate_at(now)) + 1.0;
+        let fresh = self
+            .peers
+            .values()
+            .filter(|r| now.since(r.at) < REPORT_SPAN);
+        let there = fresh.map(|r| f64::from(r.teams.get(team).copied().unwrap_or(0)) + 1.0);
+        here / (here + there.sum::<f64>())
+    }
+}
+
+impl Asked {
+    /// Closes the window when it is over.
+    fn roll(&mut self, now: Time) {
+        if now.since(self.since) >= WINDOW {
+            self.rate = self.rate_at(now);
+            self.count = 0.0;
+            self.since = now;
+        }
+    }
+
+    fn rate_at(&self, now: Time) -> f64 {
+        let span = now.since(self.since).0 as f64 / 1e6;
+        if span < 1.0 {
+            return self.rate.max(self.count);
+        }
+        (self.rate * 0.5 + self.count * 0.5 / span).max(self.count / span)
+            * if span > 3.0 { 1.0 / span } else { 1.0 }
+    }
+}
+
+/// What a team may still start of a service.
+#[derive(Debug, Clone, Copy)]
+struct Tokens {
+    left: f64,
+    at: Time,
+}
+
+/// The quotas of a service, by team.
+#[derive(Debug, Default)]
+pub(crate) struct Quotas {
+    tokens: FxHashMap<TeamName, Tokens>,
+}
+
+impl Quotas {
+    /// Pays for tasks of a team.
+    ///
+    /// A job larger than the burst goes through when nothing was used lately, and the team works
+    /// off the debt.
+    ///
+    /// # Errors
+    ///
+    /// Returns when to come back, when the quota is used up.
+    pub(crate) fn pay(
+        &mut self,
+        now: Time,
+        team: &TeamName,
+        quota: Quota,
+        tasks: usize,
+        demand: &Demand,
+    ) -> Result<(), Micros> {
+        let share = demand.share(now, team);
+        let rate = f64::from(quota.rate) * share;
+        let burst = f64::from(quota.burst.max(1)) * share;
+        let tokens = self.tokens.entry(team.clone()).or_insert(Tokens {
+            left: burst,
+            at: now,
+        });
+        let earned = now.since(tokens.at).0 as f64 / 1e6 * rate;
+        tokens.left = (tokens.left + earned).min(burst);
+        tokens.at = now;
+        let needed = (tasks as f64).min(burst);
+        if tokens.left < needed {
+            let wait = (needed - tokens.left) / rate.max(0.1);
+            return Err(Micros((wait * 1e6) as u64));
+        }
+        tokens.left -= tasks as f64;
+        Ok(())
+    }
+}
--- a/crates/chervilring_core/src/dispatch/settings.rs
+++ b/crates/chervilring_core/src/dispatch/settings.rs
@@ -14,6 +14,7 @@
     pub(crate) lost: Micros,
     pub(crate) grace: Micros,
     pub(crate) ejected_percent: u32,
+    pub(crate) bytes: u64,
 }
 
 impl DispatchSettings {
@@ -27,6 +28,7 @@
             lost: Micros::from_secs(5),
             grace: Micros::from_secs(1),
             ejected_percent: 30,
+            bytes: 512 << 20,
         }
     }
 
@@ -70,4 +72,10 @@
         self.ejected_percent = percent.min(100);
         self
     }
+
+    /// Sets how many bytes of task bodies are kept in hand at most.
+    pub fn bytes(mut self, bytes: u64) -> Self {
+        self.bytes = bytes;
+        self
+    }
 }
--- a/crates/chervilring_core/src/dispatch/submissions.rs
+++ b/crates/chervilring_core/src/dispatch/submissions.rs
@@ -16,8 +16,8 @@
     pub(crate) tries: u32,
     /// Attempts at agents now.
     pub(crate) live: u32,
-    /// Whether it waits in the queue.
-    pub(crate) queued: bool,
+    /// Attempts that agents refused.
+    pub(crate) bounces: u32,
     /// The row of the agent that the last attempt went to.
     pub(crate) last: Option<usize>,
     /// The output, once there is one.
--- a/crates/chervilring_core/src/dispatch/upkeep.rs
+++ b/crates/chervilring_core/src/dispatch/upkeep.rs
@@ -9,6 +9,9 @@
 /// How often the tables are looked over.
 const SWEEP_SPAN: Micros = Micros::from_millis(100);
 
+/// How often lanes without work forget what was learnt.
+const SLOW_SPAN: Micros = Micros::from_secs(10);
+
 impl Dispatcher {
     /// Ends the submissions whose deadline has come.
     pub(crate) fn expire(&mut self, now: Time) {
@@ -27,6 +30,8 @@
         for service in &mut self.services {
             service.queue.count_active(now);
         }
+        self.demand.forget(now);
+        self.look_after_lanes(now);
         for agent in 0..self.agents.rows.len() {
             let row = &mut self.agents.rows[agent];
             let silence = now.since(row.heard);
@@ -37,6 +42,10 @@
                 _ if silence >= self.settings.suspect => Life::Suspect,
                 _ => Life::Alive,
             };
+            let suspect = row.life != Life::Alive;
+            if suspect && known == Life::Alive {
+                self.hedge_all(now, agent);
+            }
             if lost && known != Life::Lost {
                 self.lose(now, agent);
             }
@@ -44,6 +53,31 @@
         }
     }
 
+    /// Takes out lanes that are stuck, and in those that were out for long.
+    fn look_after_lanes(&mut self, now: Time) {
+        let slow = now >= self.slow_at;
+        if slow {
+            self.slow_at = now + SLOW_SPAN;
+        }
+        for service in 0..self.services.len() {
+            for lane in 0..self.services[service].pool.lanes.len() {
+                let state = &mut self.services[service].pool.lanes[lane];
+                if state.health.come_back(now) {
+                    self.restore(now, service, lane);
+                    continue;
+                }
+                if slow && state.own == 0 {
+                    state.speed.fade();
+                    state.health.forgive();
+                }
+                let (own, span) = (state.own, state.span);
+                if !state.health.is_out() && state.health.is_stuck(now, own, span) {
+                    self.eject(now, service, lane);
+                }
+            }
+        }
+    }
+
     fn forget_orphans(&mut self, now: Time) {
         let expired = self.attempts.iter().filter(|(_, a)| a.expiry <= now);
         let expired: Vec<(TaskKey, Attempt)> = expired.map(|(k, a)| (*k, *a)).collect();
--- a/crates/chervilring_core/src/dispatch/work.rs
+++ b/crates/chervilring_core/src/dispatch/work.rs
@@ -29,6 +29,13 @@
     pub bodies: Vec<Bytes>,
 }
 
+impl Work {
+    /// Returns the bytes of all bodies.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bodies.iter().map(|b| b.len() as u64).sum()
+    }
+}
+
 /// What the dispatcher wants carried out.
 #[derive(Debug, Clone)]
 pub enum Step {
