HTTP: one kicker that also notices a dead accept loop; clean end of connections

Kicks follow a new connection at a pace of 2 ms and come four times a second otherwise; a server that serves none of six is listened on anew, since tiny_http ends its accept loop for good on any error.

A stop counts calls until their answer is written, and while stopping each answer asks the client to close its connection, which tiny_http cannot say.

--- a/crates/chervilring_daemon/src/http/api.rs
+++ b/crates/chervilring_daemon/src/http/api.rs
@@ -25,6 +25,9 @@
 /// A stop waits until no request has come in for this long.
 const QUIET: Duration = Duration::from_millis(300);
 
+/// A stop waits at most this long for that.
+const LINGER: Duration = Duration::from_secs(3);
+
 /// How often a stop looks whether all callers are answered.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -157,10 +160,14 @@
         self.inner.waiting().len()
     }
 
-    /// Refuses new submissions from now on, with the verdict that they were not run.
+    /// Refuses new submissions from now on, with the verdict that they were not run, and asks
+    /// clients to close their connections.
     pub fn refuse(&self) {
         self.inner.health.set_ready(false);
         self.inner.refusing.store(true, Ordering::Release);
+        if let Some(server) = self.inner.server().as_ref() {
+            server.set_closing();
+        }
     }
 
     /// Refuses new submissions, waits until the callers are answered and no request comes in any
@@ -169,17 +176,17 @@
     /// The event loop must run on meanwhile: this is called from a thread of its own.
     pub fn close(&self, until: Instant) -> usize {
         self.refuse();
+        let linger = Instant::now() + LINGER;
         loop {
-            let quiet = self
-                .inner
-                .server()
-                .as_ref()
-                .is_none_or(|s| s.quiet() > QUIET);
-            let left = self.waiting();
+            let mut server = self.inner.server();
+            let left = server.as_ref().map_or(0, Server::open);
+            let quiet = server.as_ref().is_none_or(|s| s.quiet() > QUIET);
+            let quiet = quiet || Instant::now() > linger;
             if left == 0 && quiet || Instant::now() >= until {
-                self.inner.server().take();
+                server.take();
                 return left;
             }
+            drop(server);
             thread::sleep(POLL);
         }
     }
--- a/crates/chervilring_daemon/src/http/call.rs
+++ b/crates/chervilring_daemon/src/http/call.rs
@@ -1,13 +1,15 @@
 //! One HTTP request and its answer.
 
-use std::io::{Cursor, Write};
+use std::fmt::Write as _;
+use std::io::{self, Cursor, Write};
 use std::mem;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use bytes::Bytes;
-use tiny_http::{Header, HeaderField, Method, Request, Response};
+use tiny_http::{Header, HeaderField, Method, Request, Response, StatusCode};
 
 use super::body::{self, BodyError};
 use super::problem::Problem;
@@ -72,6 +74,29 @@
         &self.body
     }
 
+    /// Writes the answer as the last one of its connection. `tiny_http` has no way to say so.
+    fn write_last(self, request: Request) -> io::Result<()> {
+        let has_body = *request.method() != Method::Head;
+        let status = StatusCode(self.status);
+        let phrase = status.default_reason_phrase();
+        let mut head = format!("HTTP/1.1 {} {phrase}\r\n", self.status);
+        for header in &self.headers {
+            // Writing to a string cannot fail.
+            let _ = write!(head, "{}: {}\r\n", header.field, header.value);
+        }
+        let length = self.body.len();
+        let _ = write!(
+            head,
+            "Content-Length: {length}\r\nConnection: close\r\n\r\n"
+        );
+        let mut writer = request.into_writer();
+        writer.write_all(head.as_bytes())?;
+        if has_body {
+            writer.write_all(&self.body)?;
+        }
+        writer.flush()
+    }
+
     fn into_response(self) -> Response<Cursor<Bytes>> {
         let length = Some(self.body.len());
         let body = Cursor::new(self.body);
@@ -91,6 +116,7 @@
 
 impl Call {
     pub(super) fn new(request: Request, shared: Arc<Shared>) -> Self {
+        shared.open.fetch_add(1, Ordering::AcqRel);
         Self {
             request: Some(request),
             shared,
@@ -98,6 +124,15 @@
         }
     }
 
+    pub(super) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Returns whether reading the body may wait for the client.
+    pub(super) fn may_block(&self) -> bool {
+        body::may_block(self.request())
+    }
+
     /// Returns when the call came in.
     pub fn started(&self) -> Instant {
         self.started
@@ -174,7 +209,11 @@
         };
         self.shared.count(answer.status, self.started);
         let addr = request.remote_addr().copied();
-        let written = request.respond(answer.into_response());
+        let written = if self.shared.closing.load(Ordering::Acquire) {
+            answer.write_last(request)
+        } else {
+            request.respond(answer.into_response())
+        };
         let Some(addr) = addr else {
             return;
         };
@@ -250,15 +289,11 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
-        let Some(request) = self.request.take() else {
-            return;
-        };
-        let unanswered = Self {
-            request: Some(request),
-            shared: Arc::clone(&self.shared),
-            started: self.started,
-        };
-        let problem = Problem::new(500, "internal", "The request was given up");
-        unanswered.reply_later(move || problem.answer());
+        if let Some(request) = self.request.take() {
+            let unanswered = Self::new(request, Arc::clone(&self.shared));
+            let problem = Problem::new(500, "internal", "The request was given up");
+            unanswered.reply_later(move || problem.answer());
+        }
+        self.shared.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/chervilring_daemon/src/http/kicker.rs
+++ b/crates/chervilring_daemon/src/http/kicker.rs
@@ -5,23 +5,33 @@
 //! connection, which a kept connection does not do for a long while. A connection that ends at
 //! once frees its thread, or a new one, for the oldest in the queue.
 
-use std::io;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::mpsc::{RecvTimeoutError, SyncSender, TrySendError, sync_channel};
-use std::sync::{Mutex, PoisonError};
+use std::io::{self, ErrorKind, Read};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use rustc_hash::FxHashSet;
 
-/// The longest time for which a connection is left in the queue, if it is the only one.
-const PERIOD: Duration = Duration::from_millis(25);
+/// Time between kicks when no connection was opened.
+const CALM: Duration = Duration::from_millis(250);
+
+/// Time between the kicks that follow a new connection.
+const PACE: Duration = Duration::from_millis(2);
+
+/// Kicks that follow a new connection.
+const BURST: u32 = 8;
 
 /// The most connections known to have been served.
 const MAX_KNOWN: usize = 16_384;
 
-/// How long a connection to this host may take.
-const CONNECT: Duration = Duration::from_millis(250);
+/// How long a kick may take to be served.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// Kicks that are not served, one after the other, before the server is taken for dead.
+const MAX_FAILURES: u32 = 6;
 
 /// Opens connections to a server and ends them at once, periodically and on demand.
 ///
@@ -30,6 +40,7 @@
 pub struct Kicker {
     kicks: SyncSender<()>,
     known: Mutex<FxHashSet<SocketAddr>>,
+    failures: Arc<AtomicU32>,
 }
 
 impl Kicker {
@@ -43,17 +54,15 @@
             addr.set_ip(loopback(&addr));
         }
         let (kicks, demand) = sync_channel(1);
+        let failures = Arc::new(AtomicU32::new(0));
+        let count = Arc::clone(&failures);
         thread::Builder::new()
             .name("http-kick".into())
-            .spawn(move || {
-                while demand.recv_timeout(PERIOD) != Err(RecvTimeoutError::Disconnected) {
-                    // A server that cannot be reached has no connection in its queue either.
-                    drop(TcpStream::connect_timeout(&addr, CONNECT));
-                }
-            })?;
+            .spawn(move || run(addr, &demand, &count))?;
         Ok(Self {
             kicks,
             known: Mutex::default(),
+            failures,
         })
     }
 
@@ -64,17 +73,59 @@
         if known.len() >= MAX_KNOWN {
             known.clear();
         }
-        if !known.insert(addr) {
-            return;
+        if known.insert(addr) {
+            self.kick();
+        }
+    }
+
+    /// Takes in that a connection has sent its first request.
+    pub(super) fn kick(&self) {
+        // A kick that is on its way already, or a thread that has ended, needs no further one.
+        let _ = self.kicks.try_send(());
+    }
+
+    /// Returns whether the server serves no connection any more, once for each time it is found.
+    pub(super) fn take_dead(&self) -> bool {
+        let dead = self.failures.load(Ordering::Acquire) >= MAX_FAILURES;
+        dead && self.failures.swap(0, Ordering::AcqRel) >= MAX_FAILURES
+    }
+}
+
+/// Kicks until the [`Kicker`] is dropped.
+fn run(addr: SocketAddr, demand: &Receiver<()>, failures: &AtomicU32) {
+    let mut due = 0;
+    loop {
+        let span = if due > 0 { PACE } else { CALM };
+        match demand.recv_timeout(span) {
+            Ok(()) => due = BURST,
+            Err(RecvTimeoutError::Timeout) => due = due.saturating_sub(1),
+            Err(RecvTimeoutError::Disconnected) => return,
         }
-        drop(known);
-        match self.kicks.try_send(()) {
-            // One that is on its way already does for both.
-            Ok(()) | Err(TrySendError::Full(()) | TrySendError::Disconnected(())) => {}
+        if is_served(addr) {
+            failures.store(0, Ordering::Release);
+        } else {
+            failures.fetch_add(1, Ordering::AcqRel);
         }
     }
 }
 
+/// Opens and ends a connection and returns whether the server ended it in turn.
+fn is_served(addr: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&addr, PATIENCE) else {
+        return false;
+    };
+    let prepared = stream
+        .set_read_timeout(Some(PATIENCE))
+        .and_then(|()| stream.shutdown(Shutdown::Write));
+    if prepared.is_err() {
+        return false;
+    }
+    // A reset is as good as an orderly end.
+    let ended = [ErrorKind::UnexpectedEof, ErrorKind::ConnectionReset];
+    let end = stream.read_exact(&mut [0]);
+    end.is_err_and(|error| ended.contains(&error.kind()))
+}
+
 fn loopback(addr: &SocketAddr) -> std::net::IpAddr {
     match addr {
         SocketAddr::V4(_) => std::net::Ipv4Addr::LOCALHOST.into(),
--- a/crates/chervilring_daemon/src/http/mod.rs
+++ b/crates/chervilring_daemon/src/http/mod.rs
@@ -6,7 +6,10 @@
 //!
 //! `tiny_http` takes one thread for each open connection and keeps it until the connection is
 //! closed. An idle connection is closed after [`ServerSettings::idle`]. No further thread waits
-//! for a caller: an unanswered call is an entry of a table.
+//! for a caller: an unanswered call is an entry of a table. A connection that comes in the moment
+//! in which `tiny_http` hands others to its idle threads may get no thread until another one is
+//! closed; the server therefore opens and closes a connection to itself after each new one and
+//! a few times a second, which frees a thread for it ([`Kicker`]).
 
 mod answer;
 mod api;
--- a/crates/chervilring_daemon/src/http/server.rs
+++ b/crates/chervilring_daemon/src/http/server.rs
@@ -1,18 +1,17 @@
 //! Accepts connections and hands out calls.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use opentelemetry::metrics::{Counter, Histogram};
 use slog::{Logger, warn};
+use socket2::SockRef;
 use tiny_http::Request;
 
-use super::body;
 use super::call::Call;
 use super::connections::{Connections, Entered};
 use super::kicker::Kicker;
@@ -31,6 +30,9 @@
 /// Most bodies that are read at once.
 const MAX_READERS: usize = 256;
 
+/// Connections that may wait to be accepted; the standard library asks for 128.
+const BACKLOG: i32 = 4096;
+
 /// How long a write may stand still before the connection is given up.
 const WRITE_TIME: Duration = Duration::from_secs(10);
 
@@ -76,6 +78,10 @@
     pub(super) connections: Connections,
     pub(super) writers: Pool,
     pub(super) abandoned: Counter<u64>,
+    /// Calls whose answer is not written yet.
+    pub(super) open: AtomicUsize,
+    /// Whether each answer is the last one of its connection.
+    pub(super) closing: AtomicBool,
     kicker: Kicker,
     readers: Pool,
     handler: Handler,
@@ -120,16 +126,17 @@
         log: Logger,
         handler: impl Fn(Call) + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(settings.addr)?;
-        set_options(&listener, &settings)?;
+        let listener = bind(&settings)?;
         let addr = listener.local_addr()?;
         let shared = Shared {
             connections: Connections::new(settings.idle),
             writers: Pool::new("http-write", WRITERS, MAX_WRITERS),
-            kicker: Kicker::start(addr)?,
             readers: Pool::new("http-read", 0, MAX_READERS),
             handler: Box::new(handler),
             log,
+            kicker: Kicker::start(addr)?,
+            open: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             last: Mutex::new(Instant::now()),
             requests: metrics.counter("http_requests", "HTTP requests taken in"),
@@ -155,6 +162,16 @@
         self.addr
     }
 
+    /// Returns how many calls have no written answer yet.
+    pub fn open(&self) -> usize {
+        self.shared.open.load(Ordering::Acquire)
+    }
+
+    /// Asks clients with each answer from now on to close their connection.
+    pub fn set_closing(&self) {
+        self.shared.closing.store(true, Ordering::Release);
+    }
+
     /// Returns how long ago the last request came in.
     pub fn quiet(&self) -> Duration {
         let last = self.shared.last.lock();
@@ -183,10 +200,8 @@
         let Some(request) = shared.connections.leave(addr) else {
             return;
         };
-        let shared_too = Arc::clone(shared);
-        shared
-            .writers
-            .run(move || Self::handle(&shared_too, request));
+        let call = Call::new(request, Arc::clone(shared));
+        shared.writers.run(move || Self::handle(call));
     }
 
     /// Counts an answer.
@@ -197,25 +212,27 @@
         self.durations.record(started.elapsed().as_secs_f64(), &[]);
     }
 
-    fn handle(shared: &Arc<Self>, request: Request) {
+    fn handle(call: Call) {
+        let shared = Arc::clone(call.shared());
         shared.requests.add(1, &[]);
-        let blocks = body::may_block(&request);
-        let call = Call::new(request, Arc::clone(shared));
-        if !blocks {
+        if !call.may_block() {
             (shared.handler)(call);
             return;
         }
-        let shared_too = Arc::clone(shared);
-        shared.readers.run_slow(move || (shared_too.handler)(call));
+        let readers = shared.readers.clone();
+        readers.run_slow(move || (shared.handler)(call));
     }
 }
 
-/// Sets the options that connections inherit from the listener.
-fn set_options(listener: &TcpListener, settings: &ServerSettings) -> io::Result<()> {
-    let socket = TcpStream::from(OwnedFd::from(listener.try_clone()?));
-    socket.set_nodelay(true)?;
+/// Listens with the options that connections inherit.
+fn bind(settings: &ServerSettings) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(settings.addr)?;
+    let socket = SockRef::from(&listener);
+    socket.listen(BACKLOG)?;
+    socket.set_tcp_nodelay(true)?;
     socket.set_write_timeout(Some(WRITE_TIME))?;
-    socket.set_read_timeout(Some(settings.idle))
+    socket.set_read_timeout(Some(settings.idle))?;
+    Ok(listener)
 }
 
 /// Starts a generation on the listener.
@@ -267,9 +284,13 @@
             match self.take() {
                 Ok(Some(request)) => {
                     active = Instant::now();
-                    Shared::handle(&self.shared, request);
+                    Shared::handle(Call::new(request, Arc::clone(&self.shared)));
                 }
                 Ok(None) => {
+                    if !last_one && self.shared.kicker.take_dead() {
+                        last_one = true;
+                        self.listen_again(&io::Error::other("connections are not taken up"));
+                    }
                     // Connections are closed when idle: none is left after twice that time.
                     let over = !last_one || active.elapsed() > self.shared.settings.idle * 2;
                     if over && self.generation.retired.load(Ordering::Acquire) {
@@ -294,9 +315,9 @@
         let last = self.shared.last.lock();
         *last.unwrap_or_else(PoisonError::into_inner) = Instant::now();
         match self.shared.connections.enter(request) {
-            Entered::Now(request) => {
-                if let Some(addr) = request.remote_addr() {
-                    self.shared.kicker.served(*addr);
+            Entered::Now { request, first } => {
+                if first {
+                    self.shared.kicker.kick();
                 }
                 Ok(Some(request))
             }
@@ -313,6 +334,9 @@
         }
         while let Err(error) = listen(&self.shared, &self.generations, &self.listener) {
             warn!(self.shared.log, "listening again failed"; "error" => %error);
+            if self.shared.stopping.load(Ordering::Acquire) {
+                return;
+            }
             thread::sleep(RETRY_PAUSE);
         }
     }
