--- a/crates/chervilring_core/src/config/mod.rs
+++ b/crates/chervilring_core/src/config/mod.rs
@@ -6,6 +6,7 @@
 
 mod audit;
 mod check;
+mod document;
 mod error;
 mod fields;
 mod note;
--- a/crates/chervilring_core/src/config/note.rs
+++ b/crates/chervilring_core/src/config/note.rs
@@ -7,6 +7,7 @@
 use serde_json::{Map, Value};
 
 use super::check::{self, NAME_ALLOWED};
+use super::document;
 use super::error::NoteError;
 use super::fields::{Faults, Fields, join};
 use super::service::{Limits, Quota, Rules, Selector, Service};
@@ -63,10 +64,14 @@
         faults.add("document", what, &format!("at most {MAX_NOTE} bytes"));
         return None;
     }
-    let value = match serde_json::from_str(text) {
+    let value = match document::read(text) {
         Ok(value) => value,
         Err(e) => {
-            faults.add("document", format!("not JSON: {e}"), "one JSON object");
+            faults.add(
+                "document",
+                e.to_string(),
+                "one JSON object, each field once",
+            );
             return None;
         }
     };
