--- a/crates/chervilring_core/src/config/audit.rs
+++ b/crates/chervilring_core/src/config/audit.rs
@@ -10,6 +10,8 @@
 pub struct AuditRecord {
     /// The revision that the note made.
     pub revision: Revision,
+    /// The id of the note that made the base revision; empty for the first.
+    pub previous: Name,
     /// Who submitted it.
     pub who: Name,
     /// When, by the submitter's wall clock, in milliseconds since the Unix epoch.
--- a/crates/chervilring_dev/src/platform/server.rs
+++ b/crates/chervilring_dev/src/platform/server.rs
@@ -121,6 +121,14 @@
         self.shared.changed.notify_all();
     }
 
+    /// Waits until all writes that are to take effect late have done so.
+    pub fn wait_late(&self) {
+        let mut state = self.shared.lock();
+        while state.late > 0 {
+            state = self.shared.wait(state);
+        }
+    }
+
     /// Waits until the stand-in is stopped, which only a signal does.
     pub fn join(mut self) {
         if let Some(acceptor) = self.acceptor.take() {
@@ -195,6 +203,8 @@
             break_off(request);
             thread::sleep(span);
             let _ = carry_out(call);
+            shared.lock().late -= 1;
+            shared.changed.notify_all();
         }
         Ok(Fate::Limit) => {
             let refusal = Refusal::new(429, 8, "etcdserver: too many requests");
@@ -227,7 +237,11 @@
     match fate {
         Fate::Answer => {}
         Fate::Limit => state.counts.limited += 1,
-        Fate::Fail | Fate::Lose | Fate::Late(_) => state.counts.failed += 1,
+        Fate::Fail | Fate::Lose => state.counts.failed += 1,
+        Fate::Late(_) => {
+            state.counts.failed += 1;
+            state.late += 1;
+        }
     }
     Ok(fate)
 }
--- a/crates/chervilring_dev/src/platform/state.rs
+++ b/crates/chervilring_dev/src/platform/state.rs
@@ -93,6 +93,8 @@
     pub(super) kv: Kv,
     pub(super) fates: Fates,
     pub(super) counts: Counts,
+    /// Writes that are still to take effect although their callers were told of a failure.
+    pub(super) late: u32,
     pub(super) closed: bool,
 }
 
@@ -103,6 +105,7 @@
             kv: Kv::new(),
             fates: Fates::default(),
             counts: Counts::default(),
+            late: 0,
             closed: false,
         }
     }
--- a/crates/chervilring_platform/src/submit.rs
+++ b/crates/chervilring_platform/src/submit.rs
@@ -280,6 +280,7 @@
     let config = config.map_err(SubmitError::Note)?;
     let record = AuditRecord {
         revision: config.revision,
+        previous: found.snapshot.config.note.clone(),
         who: who.clone(),
         when,
         note: note.clone(),
--- a/crates/chervilring_platform/src/watch.rs
+++ b/crates/chervilring_platform/src/watch.rs
@@ -138,10 +138,12 @@
             if record.revision <= self.config.revision {
                 continue;
             }
+            // A record is missing before this one, or the store was set back and has gone on from
+            // there: the whole document tells.
+            let follows = record.previous == self.config.note;
             let next = match self.config.apply(&record.note) {
-                Ok(config) => Arc::new(config),
-                // A record is missing before this one: the whole document has them all.
-                Err(_) => self.whole(record.revision)?,
+                Ok(config) if follows => Arc::new(config),
+                _ => self.whole(record.revision)?,
             };
             if next.revision > self.config.revision {
                 self.config = Arc::clone(&next);
