Demo: a deployment of separate processes, from start to graceful stop

The prefix of keys in the store had two defaults, so that a note written by one was not seen by the other ("revision 1 is in force everywhere: not within 7s"); now there is one.

--- a/crates/chervilring/src/commands/entry.rs
+++ b/crates/chervilring/src/commands/entry.rs
@@ -34,7 +34,7 @@
     /// URLs of the platform's store, comma-separated
     #[argh(option)]
     store: Option<String>,
-    /// what all keys in the store start with [/chervilring/]
+    /// what all keys in the store start with [chervilring/]
     #[argh(option)]
     prefix: Option<String>,
     /// how long the lease in the store lasts [5s]
--- a/crates/chervilring_daemon/src/settings/entry.rs
+++ b/crates/chervilring_daemon/src/settings/entry.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 
+use chervilring_platform::DEFAULT_PREFIX;
 use chervilring_wire::{DomainName, Micros, Name};
 use slog::Level;
 
@@ -12,7 +13,6 @@
 use super::source::Source;
 use crate::log::LogFormat;
 
-const DEFAULT_PREFIX: &str = "/chervilring/";
 const DEFAULT_LEASE: Micros = Micros::from_secs(5);
 const DEFAULT_AUTHORITY: Micros = Micros::from_secs(3);
 const DEFAULT_SKEW: Micros = Micros::from_secs(2);
--- a/crates/chervilring_dev/src/commands/mod.rs
+++ b/crates/chervilring_dev/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+pub(crate) mod demo;
 pub(crate) mod platform;
 pub(crate) mod replay;
 pub(crate) mod upstream;
--- a/crates/chervilring_dev/src/lib.rs
+++ b/crates/chervilring_dev/src/lib.rs
@@ -1,5 +1,7 @@
 //! Stand-ins, trace replay and the demo: what the project needs to be tried and tested.
 
+pub mod demo;
 pub mod platform;
+pub mod process;
 pub mod replay;
 pub mod upstream;
--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -2,7 +2,12 @@
 
 mod commands;
 
+use std::env;
+use std::process::ExitCode;
+
 use argh::FromArgs;
+use chervilring_dev::process::SHIPPED;
+use commands::demo::DemoArgs;
 use commands::platform::PlatformArgs;
 use commands::replay::ReplayArgs;
 use commands::upstream::UpstreamArgs;
@@ -17,14 +22,31 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Demo(DemoArgs),
     Platform(PlatformArgs),
     Replay(ReplayArgs),
     Upstream(UpstreamArgs),
 }
 
-fn main() -> eyre::Result<()> {
-    let args: Args = argh::from_env();
+fn main() -> ExitCode {
+    // The processes of the demo and of tests run the shipped program out of this one, so that
+    // building this one is enough.
+    let mut arguments = env::args_os().skip(1);
+    if arguments.next().is_some_and(|first| first == SHIPPED) {
+        return chervilring::run_arguments(SHIPPED, arguments.collect()).into();
+    }
+    match run(argh::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: Args) -> eyre::Result<()> {
     match args.command {
+        Command::Demo(_) => commands::demo::run(),
         Command::Platform(args) => commands::platform::run(&args),
         Command::Replay(args) => commands::replay::run(&args),
         Command::Upstream(args) => commands::upstream::run(args),
--- a/crates/chervilring_platform/src/lib.rs
+++ b/crates/chervilring_platform/src/lib.rs
@@ -20,7 +20,7 @@
 pub use error::StoreError;
 pub use etcd::{Store, Watch};
 pub use ring::{CasResult, RenewResult, RingStore};
-pub use settings::{StoreSettings, StoreSettingsBuilder};
+pub use settings::{DEFAULT_PREFIX, StoreSettings, StoreSettingsBuilder};
 pub use store::{Change, Changes, Op, Page, Pair, Txn, TxnAnswer};
 pub use submit::{Accepted, Competing, SubmitError};
 pub use watch::{AuditWatch, ConfigWatch};
--- a/crates/chervilring_platform/src/settings.rs
+++ b/crates/chervilring_platform/src/settings.rs
@@ -11,8 +11,8 @@
 /// How long a submission goes on to find out whether a write took effect.
 const DEFAULT_SETTLE: Duration = Duration::from_secs(20);
 
-/// The prefix of all keys.
-const DEFAULT_PREFIX: &str = "chervilring/";
+/// The prefix of all keys where no other is set.
+pub const DEFAULT_PREFIX: &str = "chervilring/";
 
 /// Where the store is and how long it may take.
 #[derive(Debug, Clone)]
