--- a/crates/chervilring_core/src/agent/answer.rs
+++ b/crates/chervilring_core/src/agent/answer.rs
@@ -94,9 +94,9 @@
             let place = h.batch.tasks.iter().position(|t| t.key == key)?;
             Some(h.batch.tasks.remove(place))
         });
-        if found.is_some() {
+        if let Some(task) = found {
             self.counters.cancelled += 1;
-            self.refuse(from, key, Reason::Cancelled, None);
+            self.refuse_task(from, &task, Reason::Cancelled);
         }
     }
 
--- a/crates/chervilring_core/src/agent/check.rs
+++ b/crates/chervilring_core/src/agent/check.rs
@@ -1,8 +1,8 @@
 //! The check of each start: the last place where it can be refused as not run.
 
 use chervilring_wire::{
-    AgentState, EntryId, Failure, Micros, Origin, Reason, RingVersion, StartBatch, TaskKey,
-    TaskStart, Time, Verdict,
+    AgentState, EntryId, Failure, Micros, Origin, Reason, RingVersion, ServiceName, StartBatch,
+    TaskKey, TaskStart, Time, Verdict,
 };
 
 use super::core::{Agent, Held};
@@ -32,7 +32,7 @@
 
     /// Decides on starts that came in at `since`.
     pub(super) fn take(&mut self, now: Time, since: Time, from: &EntryId, batch: StartBatch) {
-        if batch.ring > self.ring.version && self.held.len() < MAX_HELD {
+        if self.must_wait(&batch) && self.held.len() < MAX_HELD {
             self.hold(since, from, batch);
             return;
         }
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns whether nothing can be said on these starts before a newer ring has come.
+    fn must_wait(&self, batch: &StartBatch) -> bool {
+        let newer = batch.ring > self.ring.version;
+        newer && self.closed().is_none() && batch.tasks.iter().any(|t| t.origin == Origin::Keyed)
+    }
+
     /// Keeps starts until their ring has come, and asks for it by an announcement.
     fn hold(&mut self, since: Time, from: &EntryId, batch: StartBatch) {
         self.announce_now = true;
@@ -75,11 +81,16 @@
     /// Refuses all tasks of a held batch.
     pub(super) fn refuse_held(&mut self, held: &Held, reason: Reason) {
         for task in &held.batch.tasks {
-            if self.has_started(task.key, task.idempotent) {
-                self.answer_repeated(&held.from, task.key);
-            } else {
-                self.refuse(&held.from, task.key, reason, None);
-            }
+            self.refuse_task(&held.from, task, reason);
+        }
+    }
+
+    /// Refuses a start that was not decided on so far.
+    pub(super) fn refuse_task(&mut self, from: &EntryId, task: &TaskStart, reason: Reason) {
+        if self.has_started(task.key, task.idempotent) {
+            self.answer_repeated(from, task.key);
+        } else {
+            self.refuse(from, task.key, reason, None);
         }
     }
 
@@ -95,7 +106,7 @@
         if self.has_started(task.key, task.idempotent) {
             return self.decide_repeated(from, task.key);
         }
-        if self.queue.contains(task.key) {
+        if self.queue.contains(task.key, from) {
             return Decision::InHand;
         }
         if self.is_superseded(from) {
@@ -116,7 +127,7 @@
         if self.started.len() + self.queue.len() >= self.settings.budget || self.started.is_full() {
             return Decision::Refuse(Reason::TableFull, None);
         }
-        if self.outbox.bytes() >= self.settings.kept || self.is_crowded(from) {
+        if self.outbox.bytes() >= self.settings.kept || self.is_crowded(from, &task.service) {
             return Decision::Refuse(Reason::Busy, Some(self.slot_free_in(now)));
         }
         Decision::Take
@@ -172,9 +183,9 @@
         since + Micros(remaining.0.saturating_sub(lost.0))
     }
 
-    /// Returns whether the queue has no room for a further task of this entry.
-    fn is_crowded(&self, from: &EntryId) -> bool {
-        let free = (self.upstream.slots as usize).saturating_sub(self.running.len());
+    /// Returns whether the queue has no room for a further task of this entry and service.
+    fn is_crowded(&self, from: &EntryId, service: &ServiceName) -> bool {
+        let free = self.free_slots(service);
         if self.queue.len() < free {
             return false;
         }
@@ -188,6 +199,20 @@
         self.queue.len() >= room + free || self.queue.len_of(from) >= share + free
     }
 
+    /// Returns how many more tasks of a service could be in slots.
+    fn free_slots(&self, service: &ServiceName) -> usize {
+        let free = (self.upstream.slots as usize).saturating_sub(self.running.len());
+        let Some(&cap) = self.caps.get(service) else {
+            return free;
+        };
+        let taken = self
+            .running
+            .values()
+            .filter(|r| r.service == *service)
+            .count();
+        free.min((cap as usize).saturating_sub(taken))
+    }
+
     /// Returns the span after which a slot is expected to be free for one more task.
     fn slot_free_in(&self, now: Time) -> Micros {
         let runs = self.running.values();
--- a/crates/chervilring_core/src/agent/core.rs
+++ b/crates/chervilring_core/src/agent/core.rs
@@ -347,7 +347,7 @@
     /// Ends the stop once nothing is left to do, or its time is over.
     fn look_after_stop(&mut self, now: Time) {
         let Some(until) = self.leaving else { return };
-        let done = self.running.is_empty() && !self.owes_answers(now);
+        let done = self.running.is_empty() && self.held.is_empty() && !self.owes_answers(now);
         if done || now >= until {
             self.left = true;
         }
--- a/crates/chervilring_core/src/agent/entries.rs
+++ b/crates/chervilring_core/src/agent/entries.rs
@@ -7,6 +7,7 @@
 use super::core::{Agent, Link};
 use super::queue::Waiting;
 use super::step::AgentStep;
+use crate::config::Config;
 
 impl Agent {
     /// Takes in that the link to an entry is up.
@@ -188,10 +189,20 @@
         });
     }
 
-    /// Puts a newer configuration in force.
+    /// Puts a newer configuration in force: of it, an agent keeps the slots that a service may
+    /// take, which no entry alone can count.
     fn configure(&mut self, blob: &ConfigBlob) {
-        if blob.revision > self.revision {
-            self.revision = blob.revision;
+        if blob.revision <= self.revision {
+            return;
         }
+        let Ok(config) = Config::from_json(&blob.document) else {
+            self.counters.bad_configs += 1;
+            return;
+        };
+        let services = config.services.values();
+        let caps = services.filter_map(|s| Some((s.name.clone(), s.limits.slots?)));
+        self.caps = caps.collect();
+        self.revision = blob.revision;
+        self.announce_now = true;
     }
 }
--- a/crates/chervilring_core/src/agent/queue.rs
+++ b/crates/chervilring_core/src/agent/queue.rs
@@ -47,9 +47,9 @@
         lane.map_or(0, VecDeque::len)
     }
 
-    /// Returns whether this attempt waits here.
-    pub(super) fn contains(&self, key: TaskKey) -> bool {
-        self.iter().any(|w| w.key == key)
+    /// Returns whether this attempt waits here for an entry.
+    pub(super) fn contains(&self, key: TaskKey, from: &EntryId) -> bool {
+        self.iter().any(|w| w.key == key && w.from == *from)
     }
 
     /// Returns all that wait.
