--- a/crates/chervilring/src/args.rs
+++ b/crates/chervilring/src/args.rs
@@ -4,7 +4,7 @@
 
 use argh::FromArgs;
 
-use crate::commands::{agent, entry, job, request, status};
+use crate::commands::{agent, audit, entry, job, note, request, status};
 
 /// Dispatcher for sub-second tasks: daemons, and commands for operators and callers.
 #[derive(Debug, FromArgs)]
@@ -36,6 +36,10 @@
     Request(request::RequestCommand),
     /// Works with jobs.
     Job(job::JobCommand),
+    /// Works with release notes.
+    Note(note::NoteCommand),
+    /// Shows the audit trail.
+    Audit(audit::AuditCommand),
     /// Shows the status of entries.
     Status(status::StatusCommand),
 }
--- a/crates/chervilring/src/commands/mod.rs
+++ b/crates/chervilring/src/commands/mod.rs
@@ -1,11 +1,16 @@
 //! One module for each command.
 
 pub mod agent;
+pub mod audit;
 pub mod entry;
+mod in_force;
 mod input;
 pub mod job;
+pub mod note;
 pub mod request;
 pub mod status;
+mod store;
+mod utc;
 
 use crate::args::Command;
 use crate::exit::ExitStatus;
@@ -17,6 +22,8 @@
         Command::Entry(command) => entry::run(command),
         Command::Request(command) => request::run(command),
         Command::Job(command) => job::run(command),
+        Command::Note(command) => note::run(&command),
+        Command::Audit(command) => audit::run(&command),
         Command::Status(command) => status::run(&command),
     }
 }
--- a/crates/chervilring_dev/tests/store/main.rs
+++ b/crates/chervilring_dev/tests/store/main.rs
@@ -1,5 +1,6 @@
 //! The store client against the stand-in of the platform's store.
 
+mod cli;
 mod common;
 mod faults;
 mod notes;
--- a/crates/chervilring_dev/tests/store/ring.rs
+++ b/crates/chervilring_dev/tests/store/ring.rs
@@ -83,6 +83,23 @@
     assert!(new.renew().unwrap().kept);
 }
 
+#[test]
+fn key_is_put_under_the_lease_that_is_renewed() {
+    let platform = platform(Faults::default());
+    let settings = builder(&platform).build();
+    let mut first = RingStore::new(&settings, entry("one", 1), LEASE_SECS);
+    first.renew().unwrap();
+    // The same life begins with a lease of its own and never renews the one before.
+    let mut again = RingStore::new(&settings, entry("one", 1), LEASE_SECS);
+    for _ in 0..3 {
+        assert!(again.renew().unwrap().kept);
+        platform.advance(Duration::from_secs(LEASE_SECS - 1));
+        let mut other = RingStore::new(&settings, entry("two", 1), LEASE_SECS);
+        let seen = other.renew().unwrap().live;
+        assert_eq!(seen, [entry("one", 1), entry("two", 1)]);
+    }
+}
+
 #[test]
 fn released_entry_is_gone_at_once() {
     let platform = platform(Faults::default());
--- a/crates/chervilring_platform/src/config.rs
+++ b/crates/chervilring_platform/src/config.rs
@@ -95,6 +95,16 @@
         AuditWatch::new(self.clone(), since)
     }
 
+    /// Reads the audit record of a revision; `None` when it is not kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer or holds something else.
+    pub fn record(&self, revision: Revision) -> Result<Option<AuditRecord>, StoreError> {
+        let pair = self.store.get(&self.keys.audit(revision))?;
+        pair.as_ref().map(parse).transpose()
+    }
+
     /// Reads the audit records after a revision, oldest first.
     ///
     /// # Errors
--- a/crates/chervilring_platform/src/settings.rs
+++ b/crates/chervilring_platform/src/settings.rs
@@ -11,6 +11,9 @@
 /// How long a submission goes on to find out whether a write took effect.
 const DEFAULT_SETTLE: Duration = Duration::from_secs(20);
 
+/// How many notes the audit trail keeps.
+const DEFAULT_KEPT: u64 = 100_000;
+
 /// The prefix of all keys where no other is set.
 pub const DEFAULT_PREFIX: &str = "chervilring/";
 
@@ -22,6 +25,7 @@
     pub(crate) timeout: Duration,
     pub(crate) idle: Duration,
     pub(crate) settle: Duration,
+    pub(crate) kept: u64,
 }
 
 impl StoreSettings {
@@ -42,6 +46,7 @@
             timeout: DEFAULT_TIMEOUT,
             idle: DEFAULT_IDLE,
             settle: DEFAULT_SETTLE,
+            kept: DEFAULT_KEPT,
         }))
     }
 }
@@ -92,6 +97,12 @@
         self
     }
 
+    /// Sets how many notes the audit trail keeps; older records and their ids are given up.
+    pub fn kept(mut self, notes: u64) -> Self {
+        self.0.kept = notes;
+        self
+    }
+
     /// Returns the settings.
     pub fn build(self) -> StoreSettings {
         self.0
--- a/crates/chervilring_platform/src/submit.rs
+++ b/crates/chervilring_platform/src/submit.rs
@@ -18,9 +18,6 @@
 /// The largest audit record that is written, in bytes; with the document it fits one transaction.
 const MAX_RECORD: usize = 400_000;
 
-/// How many notes the audit trail keeps.
-const KEPT_NOTES: u64 = 100_000;
-
 /// Competing notes that a conflict names.
 const SHOWN_NOTES: u64 = 20;
 
@@ -152,7 +149,7 @@
     let reads = vec![
         Op::Get(store.keys.config()),
         Op::Get(store.keys.note(&note.id)),
-        Op::Get(store.keys.audit(oldest(note.base))),
+        Op::Get(store.keys.audit(oldest(store, note.base))),
     ];
     let read = Txn {
         then: reads.clone(),
@@ -217,10 +214,7 @@
 
 /// Answers a note whose id has made a revision before.
 fn repeated(store: &ConfigStore, note: &Note, revision: Revision) -> Result<Accepted, SubmitError> {
-    let record = store.store.get(&store.keys.audit(revision));
-    let record = record.map_err(SubmitError::Unclear)?;
-    let record = record.as_ref().map(parse::<AuditRecord>).transpose();
-    match record.map_err(SubmitError::Unclear)? {
+    match store.record(revision).map_err(SubmitError::Unclear)? {
         Some(record) if record.note == *note => Ok(Accepted {
             revision,
             repeated: true,
@@ -254,8 +248,8 @@
 }
 
 /// Returns the revision whose record is given up when a note is accepted on `base`.
-fn oldest(base: Revision) -> Revision {
-    Revision((base.0 + 1).saturating_sub(KEPT_NOTES))
+fn oldest(store: &ConfigStore, base: Revision) -> Revision {
+    Revision((base.0 + 1).saturating_sub(store.settings.kept))
 }
 
 fn found(pages: &[Page]) -> Result<Found, StoreError> {
