Refuse what could finish only shortly before its deadline; shed hopeless jobs

Cause of lost goodput under 5x load: accepted jobs ran into their deadline half done. The wait is now taken from all that is queued, must leave 40 % of the span until the deadline, and a job that could not be done with all upstreams for itself is given up at once.

--- a/crates/chervilring_core/src/dispatch/admission.rs
+++ b/crates/chervilring_core/src/dispatch/admission.rs
@@ -10,6 +10,9 @@
 /// The share of the expected span on the fastest upstream that the shortest tasks take.
 const SHORTEST_SHARE: f64 = 0.15;
 
+/// The share of the span until its deadline that the expected finish of a submission may take.
+const CERTAIN_SHARE: f64 = 0.6;
+
 /// The shortest span after which a caller is asked to come back.
 const SOONEST: Micros = Micros::from_millis(20);
 
@@ -112,9 +115,9 @@
     if alone > left {
         return Err((Reason::Deadline, None));
     }
-    let ideal = shortest.unwrap_or_default() + tasks / rate;
-    let ahead = row.queue.ahead(now, ideal) as f64;
-    let excess = (ahead + tasks) / rate + shortest.unwrap_or_default() - left;
+    let ahead = row.queue.len() as f64;
+    let finish = (ahead + tasks) / rate + shortest.unwrap_or_default();
+    let excess = finish - left * CERTAIN_SHARE;
     if excess > 0.0 {
         let wait = Micros(excess as u64).clamp(SOONEST, LATEST);
         return Err((Reason::Deadline, Some(wait)));
--- a/crates/chervilring_core/src/dispatch/queue.rs
+++ b/crates/chervilring_core/src/dispatch/queue.rs
@@ -26,9 +26,6 @@
 /// How long a team counts as active after it has submitted something.
 const ACTIVE_SPAN: Micros = Micros::from_secs(5);
 
-/// The steps in which tasks are counted by rank, in microseconds.
-const STEP: u64 = 100_000;
-
 /// A team that has submitted work.
 #[derive(Debug)]
 struct Team {
@@ -46,8 +43,6 @@
 pub(crate) struct Queue {
     ranked: BTreeMap<Rank, usize>,
     tasks: usize,
-    /// Tasks that wait, by the time of their rank in steps of [`STEP`].
-    steps: BTreeMap<u64, usize>,
     teams: Vec<Team>,
     index: FxHashMap<TeamName, usize>,
     active: usize,
@@ -113,19 +108,11 @@
         (now + Micros(behind as u64), self.arrivals)
     }
 
-    /// Returns the tasks that rank before a submission of this expected ideal response.
-    pub(crate) fn ahead(&self, now: Time, ideal: f64) -> usize {
-        let rank = now + Micros((STRETCH * ideal).min(1e12) as u64);
-        let before = self.steps.range(..=rank.0 / STEP);
-        before.map(|(_, tasks)| tasks).sum()
-    }
-
     /// Adds tasks of a submission, which may be in the queue already.
     pub(crate) fn add(&mut self, team: usize, rank: Rank, submission: usize, tasks: usize) {
         self.ranked.insert(rank, submission);
         self.teams[team].tasks += tasks;
         self.tasks += tasks;
-        *self.steps.entry(rank.0.0 / STEP).or_default() += tasks;
     }
 
     /// Returns the submission whose task is to be started next.
@@ -142,7 +129,7 @@
 
     /// Takes out one task of a submission; `last` tells that it has no more of them.
     pub(crate) fn take(&mut self, team: usize, rank: Rank, last: bool) {
-        self.discount(team, rank, 1);
+        self.discount(team, 1);
         if last {
             self.ranked.remove(&rank);
         }
@@ -151,19 +138,12 @@
     /// Removes a submission with all of its tasks.
     pub(crate) fn remove(&mut self, team: usize, rank: Rank, tasks: usize) {
         if self.ranked.remove(&rank).is_some() {
-            self.discount(team, rank, tasks);
+            self.discount(team, tasks);
         }
     }
 
-    fn discount(&mut self, team: usize, rank: Rank, tasks: usize) {
+    fn discount(&mut self, team: usize, tasks: usize) {
         self.teams[team].tasks -= tasks;
         self.tasks -= tasks;
-        let step = rank.0.0 / STEP;
-        if let Some(count) = self.steps.get_mut(&step) {
-            *count -= tasks;
-            if *count == 0 {
-                self.steps.remove(&step);
-            }
-        }
     }
 }
--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -78,7 +78,7 @@
         let pool = &self.services[service].pool;
         let left = now.until(submission.work.deadline).0 as f64;
         let rest = submission.waiting.len() as f64 / pool.rate().max(f64::MIN_POSITIVE);
-        left < pool.lanes[lane].span * LEAST_SHARE || left < rest * LEAST_SHARE
+        left < pool.lanes[lane].span * LEAST_SHARE || left < rest
     }
 
     /// Sends single requests that may run again to upstreams that want to come back.
--- a/crates/chervilring_dev/src/replay/world.rs
+++ b/crates/chervilring_dev/src/replay/world.rs
@@ -311,19 +311,20 @@
 
     fn submit(&mut self, home: usize, index: usize, round: u32) {
         let arrival = &self.trace.arrivals[index];
-        let work = work(self.trace, index, arrival, self.now);
+        let work = work(self.trace, index, arrival);
         let refused = self.homes[home].dispatcher.submit(self.now, work);
         match refused {
             Ok(()) => self.fates[index].accepted += 1,
-            Err(failure) if round < arrival.again && failure.retry.is_some() => {
+            Err(failure) => {
                 self.tally.turned_away += 1;
                 let pause = failure.retry.unwrap_or(COMEBACK).max(COMEBACK);
                 let back = self.now + self.fates[index].way + pause;
-                self.at(back, Event::Arrive(index, round + 1));
-            }
-            Err(failure) => {
-                self.tally.turned_away += 1;
-                self.end(index, Ending::Refused(failure));
+                let patient = back < Time(arrival.at.0) + WARM_UP + arrival.patience;
+                if round < arrival.again && patient && failure.retry.is_some() {
+                    self.at(back, Event::Arrive(index, round + 1));
+                } else {
+                    self.end(index, Ending::Refused(failure));
+                }
             }
         }
         self.run_home(home);
@@ -569,7 +570,7 @@
     SubmissionId(stamp << 80 | 0x7 << 76 | 0b10 << 62 | low)
 }
 
-fn work(trace: &Trace, index: usize, arrival: &Arrival, now: Time) -> Work {
+fn work(trace: &Trace, index: usize, arrival: &Arrival) -> Work {
     let service = arrival.service.as_ref();
     let body = Bytes::from(vec![0; arrival.declared as usize]);
     Work {
@@ -583,7 +584,7 @@
         service: (&**service.unwrap_or(&trace.head.deployment.service)).into(),
         team: arrival.team.clone(),
         idempotent: arrival.idempotent,
-        deadline: now + arrival.patience,
+        deadline: Time(arrival.at.0) + WARM_UP + arrival.patience,
         media: "application/octet-stream".into(),
         bodies: arrival.runs.iter().map(|_| body.clone()).collect(),
     }
