--- a/crates/chervilring_core/src/dispatch/queue.rs
+++ b/crates/chervilring_core/src/dispatch/queue.rs
@@ -15,7 +15,7 @@
 pub(crate) type Rank = (Time, u64);
 
 /// How many times its ideal response a submission is put back behind its arrival.
-const STRETCH: f64 = 4.0;
+const STRETCH: f64 = 16.0;
 
 /// What a team earns over its even share.
 const EARNED: f64 = 1.25;
