Notice when an upstream changes speed; eject as stuck only after 30 missed answers

A straggler's learnt run time moved over a hundred answers; a mean over the last few now replaces it when they differ by more than a factor of 3.3. At 16 missed answers sound upstreams were ejected 10 times in 30 s at 80 % load.

--- a/crates/chervilring_core/src/dispatch/health.rs
+++ b/crates/chervilring_core/src/dispatch/health.rs
@@ -18,7 +18,7 @@
 const SICK_COUNT: f64 = 1.9;
 
 /// Answers that should have come in a silence, from which a lane is taken for stuck.
-const MISSED: f64 = 16.0;
+const MISSED: f64 = 30.0;
 
 /// The shortest silence from which a lane is taken for stuck.
 const SILENCE: Micros = Micros::from_secs(1);
--- a/crates/chervilring_core/src/dispatch/speed.rs
+++ b/crates/chervilring_core/src/dispatch/speed.rs
@@ -10,6 +10,12 @@
 /// How much of the past is kept with each answer.
 const KEEP: f64 = 0.99;
 
+/// How much of the past is kept with each answer in the mean over the last few.
+const KEEP_SHORT: f64 = 0.8;
+
+/// The gap between the logarithms of recent and earlier run times that shows a change.
+const CHANGE: f64 = 1.2;
+
 /// How much of a service's past is kept with each answer.
 const KEEP_SERVICE: f64 = 0.998;
 
@@ -68,7 +74,12 @@
 
 /// What is learnt of a service on one upstream: the logarithm of the run time.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct LaneSpeed(Mean);
+pub(crate) struct LaneSpeed {
+    /// Over many answers.
+    long: Mean,
+    /// Over the last few answers.
+    short: Mean,
+}
 
 impl LaneSpeed {
     /// Learns from an answer that took `run` microseconds.
@@ -80,7 +91,13 @@
             .add((log - before).exp().min(30.0), KEEP_SERVICE);
         service.base.add(log - host.value(), KEEP_SERVICE);
         host.0.add(log - service.base(), KEEP);
-        self.0.add(log, KEEP);
+        self.long.add(log, KEEP);
+        self.short.add(log, KEEP_SHORT);
+        let gap = self.short.value(0.0, 0.0) - self.long.value(0.0, 0.0);
+        if gap.abs() > CHANGE {
+            // The upstream has changed: what was learnt before no longer holds.
+            self.long = self.short;
+        }
     }
 
     /// Returns the expected run time in microseconds.
@@ -90,10 +107,10 @@
 
     /// Forgets most of what was learnt, after a long time without answers.
     pub(crate) fn fade(&mut self) {
-        self.0.fade(0.5);
+        self.long.fade(0.5);
     }
 
     fn log(&self, service: &ServiceSpeed, host: &HostSpeed) -> f64 {
-        self.0.value(service.base() + host.value(), PRIOR_WEIGHT)
+        self.long.value(service.base() + host.value(), PRIOR_WEIGHT)
     }
 }
