--- a/crates/chervilring_core/tests/agent/world.rs
+++ b/crates/chervilring_core/tests/agent/world.rs
@@ -187,6 +187,10 @@
         if up {
             self.agent.entry_up(self.now, &id);
         } else {
+            // What the entry has not confirmed may have been lost on the way.
+            for key in self.unconfirmed.remove(&id).unwrap_or_default() {
+                self.told.remove(&(id.clone(), key));
+            }
             self.agent.entry_down(self.now, &id);
         }
         self.carry();
