Dispatcher: property tests and a test at each limit; admission counts fair shares

The flood test failed first: a small team was refused for the flood's backlog. Admission now counts what fairness lets go first.

--- a/crates/chervilring_core/src/dispatch/admission.rs
+++ b/crates/chervilring_core/src/dispatch/admission.rs
@@ -33,8 +33,7 @@
             return Err((Reason::UnknownService, None));
         };
         let tasks = work.bodies.len();
-        if let Some(quota) = self.services[index].service.quotas.get(&work.team) {
-            let _ = quota;
+        if self.services[index].service.quotas.contains_key(&work.team) {
             self.demand.ask(now, &work.team, tasks);
         }
         let row = &self.services[index];
@@ -115,7 +114,7 @@
     if alone > left {
         return Err((Reason::Deadline, None));
     }
-    let ahead = row.queue.len() as f64;
+    let ahead = row.queue.ahead(&work.team, work.bodies.len()) as f64;
     let finish = (ahead + tasks) / rate + shortest.unwrap_or_default();
     let excess = finish - left * CERTAIN_SHARE;
     if excess > 0.0 {
--- a/crates/chervilring_core/src/dispatch/queue.rs
+++ b/crates/chervilring_core/src/dispatch/queue.rs
@@ -108,6 +108,14 @@
         (now + Micros(behind as u64), self.arrivals)
     }
 
+    /// Returns how many tasks are expected to start before the last of so many new ones of a team:
+    /// all that wait, or what fairness lets go first when other teams have more than their share.
+    pub(crate) fn ahead(&self, team: &TeamName, tasks: usize) -> usize {
+        let own = self.index.get(team).map_or(0, |&t| self.teams[t].tasks);
+        let fair = (own + tasks) * self.active.max(1);
+        self.tasks.min(fair)
+    }
+
     /// Adds tasks of a submission, which may be in the queue already.
     pub(crate) fn add(&mut self, team: usize, rank: Rank, submission: usize, tasks: usize) {
         self.ranked.insert(rank, submission);
--- /dev/null
+++ b/crates/chervilring_core/tests/dispatch/admission.rs
@@ -0,0 +1,155 @@
+//! What is refused, with which reason, and when callers are told to come back.
+
+use chervilring_core::dispatch::Work;
+use chervilring_wire::{EntryId, Failure, Incarnation, Kind, Micros, Reason, Time, Verdict};
+
+use super::fixture::{Fixture, done, quota, service};
+
+fn reason(result: Result<(), Failure>) -> Option<Reason> {
+    let failure = result.err()?;
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    Some(failure.reason)
+}
+
+/// Submits requests until one is refused; returns how many were accepted.
+fn fill(fixture: &mut Fixture, make: impl Fn(Work) -> Work) -> (u128, Failure) {
+    for id in 1..100_000 {
+        let work = make(fixture.work(id, Kind::Request, 1));
+        if let Err(failure) = fixture.dispatcher.submit(fixture.now, work) {
+            return (id - 1, failure);
+        }
+    }
+    panic!("nothing was refused");
+}
+
+#[test]
+fn work_that_can_never_run_is_refused_at_once() {
+    let mut fixture = Fixture::new(2, service());
+    let mut work = fixture.work(1, Kind::Request, 1);
+    work.service = "unheard-of".into();
+    assert_eq!(reason(fixture.submit(work)), Some(Reason::UnknownService));
+    let work = fixture.work(2, Kind::Job, 2_001);
+    assert_eq!(reason(fixture.submit(work)), Some(Reason::TooLarge));
+    let mut work = fixture.work(3, Kind::Request, 1);
+    work.deadline = fixture.now + Micros(100);
+    assert_eq!(reason(fixture.submit(work)), Some(Reason::Deadline));
+    let mut nobody = Fixture::new(0, service());
+    let work = nobody.work(4, Kind::Request, 1);
+    assert_eq!(reason(nobody.submit(work)), Some(Reason::NoUpstream));
+    assert!(fixture.starts.is_empty() && fixture.ended.is_empty());
+}
+
+#[test]
+fn the_queue_is_bounded() {
+    let mut service = service();
+    service.limits.queue = 50;
+    let mut fixture = Fixture::new(2, service);
+    let (accepted, failure) = fill(&mut fixture, |work| work);
+    assert_eq!(accepted, 50);
+    assert_eq!(failure.reason, Reason::Overload);
+    assert!(failure.retry.is_some());
+}
+
+#[test]
+fn the_memory_for_bodies_is_bounded() {
+    let mut service = service();
+    service.limits.queue = 100_000;
+    service.limits.body_bytes = 64 << 20;
+    let mut fixture = Fixture::new(2, service);
+    let body = bytes::Bytes::from(vec![0; 48 << 20]);
+    let (accepted, failure) = fill(&mut fixture, |mut work| {
+        work.bodies = vec![body.clone()];
+        work
+    });
+    assert_eq!(accepted, 10, "ten times 48 MiB are under 512 MiB");
+    assert_eq!(failure.reason, Reason::Overload);
+}
+
+#[test]
+fn what_waits_too_long_is_refused_with_a_truthful_retry() {
+    let mut fixture = Fixture::new(2, service());
+    let soon = |fixture: &Fixture, id| {
+        let mut work = fixture.work(id, Kind::Request, 1);
+        work.deadline = fixture.now + Micros::from_secs(2);
+        work
+    };
+    let mut id = 0;
+    let refused = loop {
+        id += 1;
+        let work = soon(&fixture, id);
+        if let Err(failure) = fixture.submit(work) {
+            break failure;
+        }
+    };
+    assert_eq!(refused.reason, Reason::Deadline);
+    let wait = refused.retry.expect("waiting helps");
+    // Eight slots of 100 ms work the queue off; after the span named, there is room again.
+    let until = fixture.now + wait;
+    while fixture.now < until {
+        fixture.pass(Micros::from_millis(100));
+        for key in fixture.held.keys().copied().collect::<Vec<_>>() {
+            fixture.answer(key, done(key));
+        }
+    }
+    let work = soon(&fixture, 100_000);
+    assert!(fixture.submit(work).is_ok(), "refused again after {wait:?}");
+}
+
+#[test]
+fn a_quota_is_kept_and_shared_with_peers() {
+    let mut service = service();
+    service.quotas.insert("norte".into(), quota(100, 20));
+    let mut fixture = Fixture::new(2, service.clone());
+    let (accepted, failure) = fill(&mut fixture, |work| work);
+    assert_eq!((accepted, failure.reason), (20, Reason::Quota));
+    let mut shared = Fixture::new(2, service);
+    let peer = EntryId {
+        name: "entry-2".into(),
+        incarnation: Incarnation(1),
+    };
+    let demand = [("norte".into(), 1_000)];
+    shared.dispatcher.peer_demand(shared.now, &peer, &demand);
+    let (accepted, _) = fill(&mut shared, |work| work);
+    assert!(
+        accepted <= 1,
+        "{accepted} accepted, though all demand is at the peer"
+    );
+}
+
+#[test]
+fn a_flooding_team_starves_nobody() {
+    let mut fixture = Fixture::new(2, service());
+    for id in 1..=400 {
+        let mut work = fixture.work(id, Kind::Request, 1);
+        work.team = "flood".into();
+        work.deadline = Time::NEVER;
+        fixture.submit(work).expect("there is room");
+    }
+    for round in 0..40u128 {
+        let mut work = fixture.work(1_000 + round, Kind::Request, 1);
+        work.team = "sur".into();
+        fixture.submit(work).expect("there is room");
+        fixture.pass(Micros::from_millis(100));
+        for key in fixture.held.keys().copied().collect::<Vec<_>>() {
+            fixture.answer(key, done(key));
+        }
+    }
+    let small = (1_000..1_030).filter(|id| fixture.result(*id).is_some());
+    assert_eq!(small.count(), 30, "the small team is served as it asks");
+    let large = (1..=400).filter(|id| fixture.result(*id).is_some());
+    assert!(large.count() >= 200, "the large team has the rest");
+}
+
+#[test]
+fn nothing_starts_without_authority() {
+    let mut fixture = Fixture::new(2, service());
+    fixture.authority = None;
+    let work = fixture.work(1, Kind::Request, 1);
+    fixture.submit(work).expect("there is room");
+    fixture.authority = Some(fixture.now);
+    fixture.run();
+    assert!(fixture.starts.is_empty());
+    fixture.authority = Some(fixture.now + Micros(1));
+    fixture.run();
+    assert_eq!(fixture.starts.len(), 1);
+}
--- /dev/null
+++ b/crates/chervilring_core/tests/dispatch/sickness.rs
@@ -0,0 +1,178 @@
+//! Upstreams that fail, hang, go silent or leave.
+
+use chervilring_wire::{AgentState, Kind, Micros, Reason, Verdict};
+
+use super::fixture::{Fixture, done, failed, service};
+
+/// Answers all that is held: agents below `sick` fail it, the others do it.
+fn answer_all(fixture: &mut Fixture, sick: usize) {
+    for (key, agent) in fixture.held.clone() {
+        let outcome = if agent < sick {
+            failed(Verdict::Ran, Reason::UpstreamFailed)
+        } else {
+            done(key)
+        };
+        fixture.answer(key, outcome);
+    }
+}
+
+#[test]
+fn a_failing_upstream_is_ejected_and_comes_back_by_a_single_trial() {
+    let mut fixture = Fixture::new(10, service());
+    let mut id = 0;
+    let mut round = |fixture: &mut Fixture, sick: usize| {
+        for _ in 0..40 {
+            id += 1;
+            let work = fixture.work(id, Kind::Request, 1);
+            fixture.submit(work).expect("there is room");
+        }
+        fixture.pass(Micros::from_millis(100));
+        answer_all(fixture, sick);
+    };
+    for _ in 0..10 {
+        round(&mut fixture, 0);
+    }
+    for _ in 0..10 {
+        round(&mut fixture, 1);
+    }
+    assert_eq!(fixture.dispatcher.counters().ejected, 1);
+    let before = fixture.starts.len();
+    for _ in 0..100 {
+        round(&mut fixture, 1);
+    }
+    let trials = fixture.starts[before..].iter().filter(|(a, _)| *a == 0);
+    let trials = trials.count();
+    assert!((1..=4).contains(&trials), "{trials} trials in ten seconds");
+    for _ in 0..700 {
+        round(&mut fixture, 0);
+    }
+    assert_eq!(fixture.dispatcher.counters().restored, 1);
+}
+
+#[test]
+fn never_more_than_the_share_is_ejected() {
+    let mut fixture = Fixture::new(10, service());
+    for id in 1..=2_000 {
+        let work = fixture.work(id, Kind::Request, 1);
+        let _ = fixture.submit(work);
+        if id % 20 == 0 {
+            fixture.pass(Micros::from_millis(50));
+            answer_all(&mut fixture, 8);
+        }
+        let counters = fixture.dispatcher.counters();
+        assert!(counters.ejected - counters.restored <= 3);
+    }
+}
+
+#[test]
+fn a_failed_task_fails_its_job_at_once_and_the_rest_is_cancelled() {
+    let mut fixture = Fixture::new(2, service());
+    let work = fixture.work(1, Kind::Job, 20);
+    fixture.submit(work).expect("there is room");
+    let key = *fixture.held.keys().next().expect("tasks have started");
+    let others = fixture.held.len() - 1;
+    fixture.answer(key, failed(Verdict::MayHaveRun, Reason::UpstreamLost));
+    let result = fixture.result(1).expect("the caller is told at once");
+    let failure = result.as_ref().expect_err("it failed");
+    assert_eq!(failure.verdict, Verdict::MayHaveRun);
+    assert_eq!(fixture.cancels.len(), others);
+    assert_eq!(fixture.starts.len(), others + 1, "nothing is sent again");
+}
+
+#[test]
+fn a_cancelled_submission_ends_at_once_and_its_tasks_are_dropped() {
+    let mut fixture = Fixture::new(2, service());
+    let work = fixture.work(1, Kind::Job, 20);
+    fixture.submit(work).expect("there is room");
+    let running = fixture.held.len();
+    fixture
+        .dispatcher
+        .cancel(fixture.now, chervilring_wire::SubmissionId(1));
+    fixture.run();
+    let failure = fixture
+        .result(1)
+        .expect("ended")
+        .as_ref()
+        .expect_err("cancelled");
+    assert_eq!(
+        (failure.reason, failure.verdict),
+        (Reason::Cancelled, Verdict::MayHaveRun)
+    );
+    assert_eq!(fixture.cancels.len(), running);
+}
+
+#[test]
+fn a_silent_agent_gets_nothing_new_and_its_work_is_given_up_late() {
+    let mut fixture = Fixture::new(1, service());
+    let mut work = fixture.work(1, Kind::Request, 1);
+    work.idempotent = false;
+    fixture.submit(work).expect("there is room");
+    fixture.pass_silent(Micros::from_millis(2_000));
+    let work = fixture.work(2, Kind::Request, 1);
+    let _ = fixture.submit(work);
+    assert_eq!(fixture.starts.len(), 1, "a suspect gets no new work");
+    assert!(fixture.result(1).is_none(), "it is not given up yet");
+    fixture.pass_silent(Micros::from_millis(4_000));
+    let failure = fixture
+        .result(1)
+        .expect("ended")
+        .as_ref()
+        .expect_err("lost");
+    assert_eq!(
+        (failure.reason, failure.verdict),
+        (Reason::UpstreamLost, Verdict::MayHaveRun)
+    );
+}
+
+#[test]
+fn a_leaving_agent_gets_nothing_new_and_its_answers_count() {
+    let mut fixture = Fixture::new(1, service());
+    let work = fixture.work(1, Kind::Request, 1);
+    fixture.submit(work).expect("there is room");
+    fixture.announce(0, AgentState::Leaving);
+    let work = fixture.work(2, Kind::Request, 1);
+    let _ = fixture.submit(work);
+    assert_eq!(fixture.starts.len(), 1);
+    answer_all(&mut fixture, 0);
+    assert_eq!(fixture.result(1).map(Result::is_ok), Some(true));
+}
+
+#[test]
+fn answers_resent_after_a_broken_link_count() {
+    let mut fixture = Fixture::new(1, service());
+    let work = fixture.work(1, Kind::Request, 1);
+    fixture.submit(work).expect("there is room");
+    let id = fixture.agents[0].clone();
+    fixture.dispatcher.disconnect(fixture.now, &id);
+    fixture.pass(Micros::from_millis(500));
+    fixture.dispatcher.connect(fixture.now, &id);
+    answer_all(&mut fixture, 0);
+    assert_eq!(fixture.result(1).map(Result::is_ok), Some(true));
+}
+
+#[test]
+fn a_straggling_request_is_hedged_on_a_faster_upstream() {
+    let mut fixture = Fixture::new(10, service());
+    for id in 1..=200 {
+        let work = fixture.work(id, Kind::Request, 1);
+        fixture.submit(work).expect("there is room");
+        fixture.pass(Micros::from_millis(100));
+        answer_all(&mut fixture, 0);
+    }
+    let work = fixture.work(1_000, Kind::Request, 1);
+    fixture.submit(work).expect("there is room");
+    let (stuck, first) = *fixture.starts.last().expect("it was started");
+    // The agent goes silent with the task; the others go on.
+    for _ in 0..20 {
+        fixture.now = fixture.now + Micros::from_millis(100);
+        for agent in (0..10).filter(|&a| a != stuck) {
+            fixture.announce(agent, AgentState::Ready);
+        }
+        fixture.run();
+    }
+    let (_, second) = *fixture.starts.last().expect("it was hedged");
+    assert_eq!((second.submission, second.attempt.0), (first.submission, 1));
+    fixture.answer(second, done(second));
+    assert_eq!(fixture.result(1_000).map(Result::is_ok), Some(true));
+    assert!(fixture.cancels.contains(&first), "the straggler is dropped");
+}
