Entry: no 'not run' for a keyed id without authority

Only the home in force can say that an id did not run; without authority the verdict is 'may have run'.

--- a/crates/chervilring_core/src/entry/ids.rs
+++ b/crates/chervilring_core/src/entry/ids.rs
@@ -66,6 +66,11 @@
         Some((record.fingerprint, &record.known))
     }
 
+    /// Returns where an id in the table comes from.
+    pub(super) fn origin(&self, id: SubmissionId) -> Option<Origin> {
+        self.table.get(&id).map(|record| record.origin)
+    }
+
     /// Checks that a new id can be told from one that was forgotten, and that it can be kept.
     ///
     /// # Errors
--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -139,7 +139,7 @@
         match checked {
             Ok(None) => self.queue(now, caller, &submission),
             Ok(Some(look_at)) => self.hold(now, caller, submission, look_at),
-            Err(refusal) => self.refuse(caller, refusal),
+            Err(refusal) => self.refuse_new(now, caller, submission.origin, &refusal),
         }
     }
 
@@ -194,7 +194,7 @@
             Ok(work) => {
                 let id = work.id;
                 if let Err(refusal) = self.dispatcher.submit(now.mono, work) {
-                    return self.refuse(caller, refusal);
+                    return self.refuse_new(now, caller, submission.origin, &refusal);
                 }
                 self.ids
                     .insert(now, id, submission.fingerprint, submission.origin);
@@ -204,7 +204,30 @@
                 let until = submission.wait.map_or(Time::NEVER, |wait| now.mono + wait);
                 self.waits.add(id, caller, until);
             }
-            Err(refusal) => self.refuse(caller, refusal),
+            Err(refusal) => self.refuse_new(now, caller, submission.origin, &refusal),
+        }
+    }
+
+    /// Refuses a submission that is not in the table.
+    fn refuse_new(&mut self, now: Now, caller: Caller, origin: Origin, refusal: &Failure) {
+        let verdict = self.verdict(now, origin, refusal.verdict);
+        self.refuse(
+            caller,
+            Failure {
+                verdict,
+                ..refusal.clone()
+            },
+        );
+    }
+
+    /// Returns the verdict that this entry may give: an entry without authority cannot say that an
+    /// id did not run, for it may have another home by now.
+    pub(super) fn verdict(&self, now: Now, origin: Origin, verdict: Verdict) -> Verdict {
+        let known = origin == Origin::Local || self.membership.authority(now).is_some();
+        if known {
+            verdict
+        } else {
+            verdict.max(Verdict::MayHaveRun)
         }
     }
 
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -257,27 +257,40 @@
                 Step::Cancel { agent, keys } => self.cancel_at(agent, keys),
                 Step::Ended { id, result } => {
                     let reply = result.map_or_else(Reply::Failed, Reply::Complete);
-                    self.ended(id, reply);
+                    self.ended(now, id, reply);
                 }
             }
         }
     }
 
     /// Records how a submission ended and tells all who wait for it.
-    fn ended(&mut self, id: SubmissionId, reply: Reply) {
+    fn ended(&mut self, now: Now, id: SubmissionId, reply: Reply) {
         match &reply {
             Reply::Complete(_) => self.counters.completed += 1,
             Reply::Failed(_) => self.counters.failed += 1,
             Reply::Pending(_) => {}
         }
+        let told = self.told(now, id, reply.clone());
         for caller in self.waits.take(id) {
-            self.reply(caller, reply.clone());
+            self.reply(caller, told.clone());
         }
         if self.ids.end(id, reply) {
             self.membership.forget_started(id);
         }
     }
 
+    /// Returns the reply as callers get it: with a verdict that this entry may give.
+    fn told(&self, now: Now, id: SubmissionId, reply: Reply) -> Reply {
+        let (Reply::Failed(failure), Some(origin)) = (&reply, self.ids.origin(id)) else {
+            return reply;
+        };
+        let verdict = self.verdict(now, origin, failure.verdict);
+        Reply::Failed(Failure {
+            verdict,
+            ..failure.clone()
+        })
+    }
+
     /// Answers callers who do not wait for the end.
     fn expire_waits(&mut self, now: Time) {
         for (id, caller) in self.waits.expired(now) {
--- a/crates/chervilring_core/src/entry/queries.rs
+++ b/crates/chervilring_core/src/entry/queries.rs
@@ -1,8 +1,8 @@
 //! Queries about an id: show, wait, cancel.
 
 use chervilring_wire::{
-    EntryId, Micros, Now, PeerMessage, Progress, Query, Reason, Reply, SubmissionId, Ticket, Time,
-    Verdict,
+    EntryId, Micros, Now, Origin, PeerMessage, Progress, Query, Reason, Reply, SubmissionId,
+    Ticket, Time, Verdict,
 };
 
 use super::forwards::{Forward, Passed};
@@ -110,7 +110,10 @@
     /// Answers for an id that is not in the table: whether it may have been used elsewhere.
     fn query_unknown(&mut self, now: Now, caller: Caller, id: SubmissionId) {
         let refusal = match self.membership.standing(now, id) {
-            Standing::Fresh => failure(Verdict::NotRun, Reason::UnknownId, None),
+            Standing::Fresh => {
+                let verdict = self.verdict(now, Origin::Keyed, Verdict::NotRun);
+                failure(verdict, Reason::UnknownId, None)
+            }
             Standing::Wait(look_at) => {
                 let retry = now.mono.until(look_at);
                 failure(Verdict::MayHaveRun, Reason::Unavailable, Some(retry))
