--- a/crates/chervilring_core/src/membership/beat.rs
+++ b/crates/chervilring_core/src/membership/beat.rs
@@ -5,7 +5,7 @@
     Ticket, Time,
 };
 
-use super::peer::{AgentChange, Hand, OpenBeat};
+use super::peer::{AgentChange, Hand, OpenBeat, Peer};
 use super::source::State;
 use super::state::{Membership, Phase};
 use super::step::MemberStep;
@@ -157,12 +157,17 @@
         self.usage.drain()
     }
 
+    /// Returns the peers that heartbeats go to: none before this entry has joined, for nobody
+    /// keeps what it tells until then.
+    pub(crate) fn heard(&self) -> impl Iterator<Item = (&EntryId, &Peer)> {
+        let silent = [Phase::Joining, Phase::Left, Phase::Evicted];
+        let silent = silent.contains(&self.phase);
+        self.peers.iter().filter(move |(_, p)| p.up && !silent)
+    }
+
     /// Sends the heartbeats that are due.
     pub(crate) fn beat(&mut self, now: Time) {
-        if matches!(self.phase, Phase::Left | Phase::Evicted) {
-            return;
-        }
-        let due = self.peers.iter().filter(|(_, p)| p.up && p.beat <= now);
+        let due = self.heard().filter(|(_, p)| p.beat <= now);
         let due: Vec<EntryId> = due.map(|(entry, _)| entry.clone()).collect();
         for entry in due {
             self.hand_over(&entry);
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -121,7 +121,7 @@
 
     /// Returns when [`Self::tick`] is due without further events.
     pub fn wake_at(&self) -> Time {
-        let beats = self.peers.values().filter(|p| p.up).map(|p| p.beat);
+        let beats = self.heard().map(|(_, p)| p.beat);
         let sources = self.sources.iter().map(|s| {
             let home = s.home.as_ref().and_then(|home| self.homes.get(home));
             s.wake_at(home).max(self.last + Micros(1))
