Agents let a living home go on with what it took on before a join

Cause: an entry that joined cut off jobs: agents refused the former home as soon as they had the new ring, so that the rest of its running jobs bounced until their deadline (10 jobs of 84 under load, one join and one stop). A former home that is still a member has told the new one of all it took on before that begins; so agents accept it for ids that were at home there in an older ring. An evicted home is no member and is refused as before. For a former home that dies after a join, the new home now waits for reports under the first ring without it: those under the joining ring are no longer final.

--- a/crates/chervilring_core/src/agent/check.rs
+++ b/crates/chervilring_core/src/agent/check.rs
@@ -1,8 +1,8 @@
 //! The check of each start: the last place where it can be refused as not run.
 
 use chervilring_wire::{
-    AgentState, EntryId, Failure, Micros, Origin, Reason, RingVersion, ServiceName, StartBatch,
-    TaskKey, TaskStart, Time, Verdict,
+    AgentState, EntryId, Failure, Micros, Origin, Reason, ServiceName, StartBatch, TaskKey,
+    TaskStart, Time, Verdict,
 };
 
 use super::core::{Agent, Held};
@@ -32,12 +32,11 @@
 
     /// Decides on starts that came in at `since`.
     pub(super) fn take(&mut self, now: Time, since: Time, from: &EntryId, batch: StartBatch) {
-        if self.must_wait(&batch) && self.held.len() < MAX_HELD {
-            self.hold(since, from, batch);
-            return;
+        if self.must_wait(&batch) {
+            return self.hold(since, from, batch);
         }
         for task in batch.tasks {
-            match self.decide(now, since, from, batch.ring, &task) {
+            match self.decide(now, since, from, &task) {
                 Decision::Take => self.enqueue(since, from, task),
                 Decision::Refuse(reason, retry) => self.refuse(from, task.key, reason, retry),
                 Decision::InHand => {}
@@ -52,7 +51,8 @@
         newer && self.closed().is_none() && batch.tasks.iter().any(|t| t.origin == Origin::Keyed)
     }
 
-    /// Keeps starts until their ring has come, and asks for it by an announcement.
+    /// Keeps starts until their ring has come, and asks for it by an announcement. Where too many
+    /// are kept already, they are refused.
     fn hold(&mut self, since: Time, from: &EntryId, batch: StartBatch) {
         self.announce_now = true;
         let until = since + self.settings.patience;
@@ -61,12 +61,17 @@
             .iter()
             .map(|t| self.deadline(since, t.remaining));
         let until = deadlines.fold(until, Time::min);
-        self.held.push(Held {
+        let held = Held {
             from: from.clone(),
             batch,
             since,
             until,
-        });
+        };
+        if self.held.len() < MAX_HELD {
+            self.held.push(held);
+        } else {
+            self.refuse_held(&held, Reason::Unavailable);
+        }
     }
 
     /// Refuses starts whose ring has not come in time.
@@ -94,14 +99,7 @@
         }
     }
 
-    fn decide(
-        &self,
-        now: Time,
-        since: Time,
-        from: &EntryId,
-        ring: RingVersion,
-        task: &TaskStart,
-    ) -> Decision {
+    fn decide(&self, now: Time, since: Time, from: &EntryId, task: &TaskStart) -> Decision {
         // Comes first: no refusal may call a task not run that has started here.
         if self.has_started(task.key, task.idempotent) {
             return self.decide_repeated(from, task.key);
@@ -112,7 +110,7 @@
         if self.is_superseded(from) {
             return Decision::Refuse(Reason::NotHome, None);
         }
-        if task.origin == Origin::Keyed && !self.is_home(from, ring, task.key) {
+        if task.origin == Origin::Keyed && !self.ring.may_hold(from, task.key.submission) {
             return Decision::Refuse(Reason::NotHome, None);
         }
         if let Some(reason) = self.closed() {
@@ -156,15 +154,6 @@
         }
     }
 
-    /// Returns whether the sender is the home of the id in the newest ring known here.
-    ///
-    /// A start under an older ring is refused even where the home is the same: the id may have
-    /// been elsewhere in between.
-    fn is_home(&self, from: &EntryId, ring: RingVersion, key: TaskKey) -> bool {
-        let home = self.ring.home(key.submission);
-        ring >= self.ring.version && home.is_some_and(|m| m.entry == *from)
-    }
-
     /// Returns whether a later life of this entry has been seen.
     fn is_superseded(&self, from: &EntryId) -> bool {
         let latest = self.latest.get(&from.name);
--- a/crates/chervilring_core/src/agent/entries.rs
+++ b/crates/chervilring_core/src/agent/entries.rs
@@ -1,7 +1,7 @@
 //! The links to entries, and the ring that says which of them is whose home.
 
 use chervilring_wire::{
-    AgentMessage, ConfigBlob, EntryId, EntryMessage, Origin, Reason, Ring, RingVersion, Time,
+    AgentMessage, ConfigBlob, EntryId, EntryMessage, Origin, Reason, Ring, Time,
 };
 
 use super::core::{Agent, Link};
@@ -137,10 +137,9 @@
             return;
         }
         self.counters.rings += 1;
-        let skipped = ring.version > RingVersion(self.ring.version.0 + 1);
         self.ring = ring;
         self.announce_now = true;
-        self.refuse_moved(skipped);
+        self.refuse_moved();
         self.steps.push(AgentStep::Dial(self.ring.members.clone()));
         for entry in self.linked() {
             self.report(&entry);
@@ -148,13 +147,11 @@
         self.release_held(now);
     }
 
-    /// Refuses queued tasks whose sender is not, or was not all the time, their home.
-    fn refuse_moved(&mut self, skipped: bool) {
+    /// Refuses queued tasks whose sender may not hold them any more.
+    fn refuse_moved(&mut self) {
         let ring = &self.ring;
-        let moved = |w: &Waiting| {
-            let home = ring.home(w.key.submission);
-            w.origin == Origin::Keyed && (skipped || home.is_none_or(|m| m.entry != w.from))
-        };
+        let moved =
+            |w: &Waiting| w.origin == Origin::Keyed && !ring.may_hold(&w.from, w.key.submission);
         for task in self.queue.extract(moved) {
             self.refuse(&task.from, task.key, Reason::NotHome, None);
         }
--- a/crates/chervilring_core/src/membership/source.rs
+++ b/crates/chervilring_core/src/membership/source.rs
@@ -47,6 +47,8 @@
     pub(crate) now: Time,
     pub(crate) ring: RingVersion,
     pub(crate) member: bool,
+    /// The first ring without the former home: agents that have it start nothing for that home.
+    pub(crate) without: RingVersion,
     pub(crate) home: Option<&'a Home>,
     pub(crate) reports: &'a FxHashMap<AgentId, RingVersion>,
     pub(crate) rules: Rules,
@@ -153,7 +155,7 @@
         home.agents.iter().all(|agent| {
             let report = evidence.reports.get(agent);
             report.is_some_and(|ring| {
-                *ring >= self.version && (*ring <= evidence.ring || !evidence.rules.bound)
+                *ring >= evidence.without && (*ring <= evidence.ring || !evidence.rules.bound)
             })
         })
     }
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -366,6 +366,7 @@
                 now,
                 ring: self.ring.version,
                 member: home.is_some_and(|home| self.ring.contains(home)),
+                without: self.ring.first_without(home, source.version),
                 home: home.and_then(|home| self.homes.get(home)),
                 reports: &self.reports,
                 rules,
--- a/crates/chervilring_wire/src/ring.rs
+++ b/crates/chervilring_wire/src/ring.rs
@@ -42,6 +42,13 @@
     pub members: Vec<EntryId>,
 }
 
+impl OldRing {
+    /// Returns the home that a submission had in this ring.
+    pub fn home(&self, id: SubmissionId) -> Option<&EntryId> {
+        self.members.iter().max_by_key(|m| score(&m.name, id))
+    }
+}
+
 /// Ids of which a lost home may have started some that nobody has a record of.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Doubt {
@@ -104,6 +111,25 @@
         self.members.iter().any(|m| m.entry == *entry)
     }
 
+    /// Returns whether an entry may have taken an id on: it is a member, and the id's home in this
+    /// ring or in one of those before.
+    ///
+    /// A home goes on with what it took on before another entry joined; it tells the new home of
+    /// that before the new home begins. A home that was evicted is no member any more.
+    pub fn may_hold(&self, entry: &EntryId, id: SubmissionId) -> bool {
+        let home = self.home(id).map(|m| &m.entry);
+        let former = self.older.iter().map(|old| old.home(id));
+        self.contains(entry) && former.chain([home]).any(|home| home == Some(entry))
+    }
+
+    /// Returns the first known ring, from a version on, that an entry is no member of.
+    pub fn first_without(&self, entry: Option<&EntryId>, from: RingVersion) -> RingVersion {
+        let lacks = |old: &&OldRing| entry.is_none_or(|entry| !old.members.contains(entry));
+        let older = self.older.iter().filter(|old| old.version >= from);
+        let first = older.filter(lacks).map(|old| old.version).min();
+        first.unwrap_or(self.version)
+    }
+
     /// Returns how many members make a majority.
     pub fn majority(&self) -> usize {
         self.members.len() / 2 + 1
