--- a/crates/chervilring_core/src/agent/settings.rs
+++ b/crates/chervilring_core/src/agent/settings.rs
@@ -47,7 +47,7 @@
             patience: Micros::from_secs(1),
             absence: Micros::from_secs(60),
             drain: Micros::from_secs(30),
-            pause: Micros::from_millis(1_500),
+            pause: Micros::from_millis(750),
         }
     }
 
--- a/crates/chervilring_core/tests/agent/focused.rs
+++ b/crates/chervilring_core/tests/agent/focused.rs
@@ -6,7 +6,7 @@
     Verdict,
 };
 
-use crate::op::Ask;
+use crate::op::{Ask, Op};
 use crate::world::{BUDGET, PAUSE, World, id};
 
 const ALL: u8 = 7;
@@ -262,6 +262,57 @@
     assert_eq!(order, [id(first), id(first), id(second), id(first)]);
 }
 
+#[test]
+fn a_cancelled_task_is_answered_at_once() {
+    let mut world = World::new();
+    world.announce(1);
+    let start = ask(&world, 0, 0);
+    let now = world.now;
+    world.ask(&start, now);
+    let running = world.calls[0].key;
+    world.ask(
+        &Ask {
+            index: 1,
+            ..start.clone()
+        },
+        now,
+    );
+    world.apply(Op::Cancel(start.entry));
+    let told = |failure: Verdict| {
+        let outcomes = world.told.values();
+        let failed =
+            outcomes.filter(|o| matches!(o, TaskOutcome::Failed(f) if f.verdict == failure));
+        failed.count()
+    };
+    assert_eq!((told(Verdict::NotRun), told(Verdict::MayHaveRun)), (1, 1));
+    assert!(world.aborted.contains(&running));
+    world.end(answer());
+    assert!(world.calls.is_empty(), "the queued one does not start");
+}
+
+#[test]
+fn a_task_past_its_deadline_is_answered_though_its_call_goes_on() {
+    let mut world = World::new();
+    world.announce(1);
+    let start = Ask {
+        remaining: Micros::from_millis(500),
+        ..ask(&world, 0, 0)
+    };
+    let now = world.now;
+    world.ask(&start, now);
+    world.pass(Micros::from_millis(600));
+    let expected = Some((Verdict::MayHaveRun, Reason::Deadline));
+    assert_eq!(refusal(&world, start.entry), expected);
+    assert_eq!(world.agent.status().running, 1, "the slot is in use");
+    world.end(answer());
+    assert_eq!(world.agent.status().running, 0);
+    assert_eq!(
+        refusal(&world, start.entry),
+        expected,
+        "there is no second answer"
+    );
+}
+
 #[test]
 fn a_frozen_agent_starts_nothing_late() {
     let mut world = World::new();
--- a/crates/chervilring_daemon/src/agent/announcement.rs
+++ b/crates/chervilring_daemon/src/agent/announcement.rs
@@ -12,9 +12,12 @@
 /// The most slots of an upstream.
 const MAX_SLOTS: u32 = 1024;
 
-/// The most services and labels of an upstream; an announcement must fit into a datagram.
+/// The most services, and the most labels, of an upstream.
 const MAX_NAMES: usize = 64;
 
+/// The bytes of all services and labels together: an announcement must fit into a datagram.
+const MAX_BYTES: usize = 4096;
+
 /// The longest name of a service or label, in bytes.
 const MAX_NAME: usize = 64;
 
@@ -77,6 +80,15 @@
     check_names("services", services, 1, is_service)?;
     let labels = document.labels.iter().map(|l| &**l);
     check_names("labels", labels, 0, is_label)?;
+    let services = document.services.iter().map(|s| s.as_str().len());
+    let bytes: usize = services
+        .chain(document.labels.iter().map(|l| l.len()))
+        .sum();
+    if bytes > MAX_BYTES {
+        return Err(format!(
+            "services, labels: {bytes} bytes in all, allowed are {MAX_BYTES}"
+        ));
+    }
     check_range("slots", document.slots, MAX_SLOTS)?;
     check_range("connections", document.connections, MAX_SLOTS)?;
     if !(MIN_LEASE..=MAX_LEASE).contains(&document.lease) {
--- a/crates/chervilring_daemon/src/agent/http.rs
+++ b/crates/chervilring_daemon/src/agent/http.rs
@@ -14,6 +14,7 @@
 
 use super::announcement;
 use super::exposition::Exposition;
+use crate::http::Kicker;
 use crate::net::Inbox;
 
 /// The largest announcement, in bytes.
@@ -53,12 +54,16 @@
     let bound = server.server_addr().to_ip().unwrap_or(addr);
     let server = Arc::new(server);
     let metrics = Arc::new(metrics);
+    let kicker = Arc::new(Kicker::start(bound)?);
     for _ in 0..THREADS {
         let (server, inbox) = (Arc::clone(&server), inbox.clone());
-        let metrics = Arc::clone(&metrics);
+        let (metrics, kicker) = (Arc::clone(&metrics), Arc::clone(&kicker));
         let thread = thread::Builder::new().name("http".into());
         thread.spawn(move || {
             for request in server.incoming_requests() {
+                if let Some(addr) = request.remote_addr() {
+                    kicker.served(*addr);
+                }
                 answer(request, &inbox, &metrics);
             }
         })?;
--- a/crates/chervilring_dev/tests/agent/fake_entry.rs
+++ b/crates/chervilring_dev/tests/agent/fake_entry.rs
@@ -129,10 +129,12 @@
 
     /// Waits for the answer to an attempt.
     pub(crate) fn answer(&mut self, key: TaskKey) -> TaskOutcome {
-        until("the answer", || {
+        // Reading waits for the link, so that no further pause is needed.
+        let end = Instant::now() + BOUND;
+        while !self.answers.contains_key(&key) {
+            assert!(Instant::now() < end, "the answer: not within {BOUND:?}");
             self.receive();
-            self.answers.contains_key(&key)
-        });
+        }
         self.answers[&key].outcome.clone()
     }
 
