--- a/crates/chervilring_core/src/dispatch/agents.rs
+++ b/crates/chervilring_core/src/dispatch/agents.rs
@@ -3,7 +3,7 @@
 use chervilring_wire::{AgentId, AgentState, DomainName, Load, Name, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
-use super::speed::HostSpeed;
+use super::speed::{HostSpeed, LaneSpeed};
 
 /// Whether an agent is thought to be alive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -14,6 +14,8 @@
     Suspect,
     /// It was given up.
     Lost,
+    /// Its row is vacant.
+    Removed,
 }
 
 /// An agent, as this entry knows it.
@@ -43,6 +45,8 @@
     pub(crate) life: Life,
     /// What is learnt of its upstream's speed.
     pub(crate) speed: HostSpeed,
+    /// What was learnt in its last life, by row of the service.
+    pub(crate) learnt: Vec<(usize, LaneSpeed)>,
     /// The round trip to it, in microseconds.
     pub(crate) trip: f64,
     /// The lanes it has: row of the service, index in its pool.
@@ -67,6 +71,7 @@
             closed: Time::default(),
             life: Life::Alive,
             speed: HostSpeed::default(),
+            learnt: Vec::new(),
             trip: 0.0,
             lanes: Vec::new(),
         }
@@ -96,6 +101,9 @@
 pub(crate) struct Agents {
     pub(crate) rows: Vec<AgentRow>,
     index: FxHashMap<AgentId, usize>,
+    /// The row of the last life of each name.
+    names: FxHashMap<Name, usize>,
+    vacant: Vec<usize>,
 }
 
 impl Agents {
@@ -103,14 +111,55 @@
         self.index.get(id).copied()
     }
 
-    /// Returns the row of an agent, a new one if need be.
-    pub(crate) fn enter(&mut self, id: &AgentId, now: Time) -> usize {
-        if let Some(row) = self.find(id) {
-            return row;
-        }
-        let row = self.rows.len();
-        self.rows.push(AgentRow::new(id.clone(), now));
+    /// Adds a row for an agent.
+    pub(crate) fn add(&mut self, id: &AgentId, now: Time) -> usize {
+        let new = AgentRow::new(id.clone(), now);
+        let row = if let Some(row) = self.vacant.pop() {
+            self.rows[row] = new;
+            row
+        } else {
+            self.rows.push(new);
+            self.rows.len() - 1
+        };
         self.index.insert(id.clone(), row);
         row
     }
+
+    /// Returns whether no later life of this agent is known.
+    pub(crate) fn is_last(&self, row: usize) -> bool {
+        self.names.get(&self.rows[row].id.name) == Some(&row)
+    }
+
+    /// Returns the row of the last life before this one, and keeps this one as the last.
+    pub(crate) fn older(&mut self, id: &AgentId) -> Option<usize> {
+        let row = self.find(id)?;
+        let last = self.names.get(&id.name).copied();
+        let Some(last) = last else {
+            self.names.insert(id.name.clone(), row);
+            return None;
+        };
+        if self.rows[last].id.incarnation > id.incarnation {
+            // A late message of an earlier life.
+            self.rows[row].life = Life::Lost;
+            return None;
+        }
+        self.names.insert(id.name.clone(), row);
+        Some(last)
+    }
+
+    /// Forgets an agent; its row is used again.
+    pub(crate) fn remove(&mut self, row: usize) {
+        let id = self.rows[row].id.clone();
+        self.index.remove(&id);
+        if self.names.get(&id.name) == Some(&row) {
+            self.names.remove(&id.name);
+        }
+        self.rows[row].life = Life::Removed;
+        self.vacant.push(row);
+    }
+
+    /// Returns the rows in use.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &AgentRow> {
+        self.rows.iter().filter(|r| r.life != Life::Removed)
+    }
 }
--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 };
 use rustc_hash::FxHashMap;
 
-use super::agents::{AgentRow, Agents, Life};
+use super::agents::{Agents, Life};
 use super::attempts::Attempts;
 use super::budget::Budget;
 use super::counters::DispatchCounters;
@@ -122,7 +122,10 @@
 
     /// Takes in an agent's announcement.
     pub fn announce(&mut self, now: Time, announce: &Announce) {
-        let agent = self.agents.enter(&announce.agent, now);
+        let agent = self.enter(now, &announce.agent);
+        if !self.agents.is_last(agent) {
+            return;
+        }
         let row = &mut self.agents.rows[agent];
         row.heard = now;
         row.life = Life::Alive;
@@ -142,7 +145,10 @@
 
     /// Notes that the link to an agent is up.
     pub fn connect(&mut self, now: Time, agent: &AgentId) {
-        let agent = self.agents.enter(agent, now);
+        let agent = self.enter(now, agent);
+        if !self.agents.is_last(agent) {
+            return;
+        }
         let row = &mut self.agents.rows[agent];
         row.linked = true;
         row.life = Life::Alive;
@@ -271,7 +277,7 @@
             teams: row.queue.teams(),
             upstreams: row.pool.usable(),
         });
-        let agents = self.agents.rows.iter().map(|row| AgentView {
+        let agents = self.agents.iter().map(|row| AgentView {
             agent: row.id.clone(),
             domain: row.domain.clone(),
             state: row.state_name(),
@@ -288,72 +294,6 @@
         }
     }
 
-    /// Returns the expected run times on an agent, in milliseconds.
-    fn runs(&self, row: &AgentRow) -> Vec<(ServiceName, f64)> {
-        let runs = row.lanes.iter().map(|&(service, lane)| {
-            let service = &self.services[service];
-            let speed = service.pool.lanes[lane].speed;
-            let run = speed.run(&service.pool.speed, &row.speed);
-            (service.service.name.clone(), run / 1_000.0)
-        });
-        runs.collect()
-    }
-
-    /// Gives an agent a lane in each service that it does.
-    pub(crate) fn match_services(&mut self, now: Time, agent: usize) {
-        let row = &self.agents.rows[agent];
-        let mut lanes = row.lanes.clone();
-        for (index, service) in self.services.iter_mut().enumerate() {
-            let selector = &service.service.selector;
-            let does = service.open
-                && row.services.contains(&service.service.name)
-                && selector.labels.iter().all(|l| row.labels.contains(l));
-            let known = lanes.iter().position(|&(s, _)| s == index);
-            if let (false, Some(place)) = (does, known)
-                && service.pool.lanes[lanes[place].1].own == 0
-            {
-                service.pool.remove(lanes.swap_remove(place).1);
-            }
-            if does && known.is_none() {
-                let lane = service.pool.add(agent);
-                lanes.push((index, lane));
-            }
-        }
-        self.agents.rows[agent].lanes = lanes;
-        self.refresh(now, agent);
-    }
-
-    fn take_load(&mut self, now: Time, agent: usize, load: Load) {
-        let row = &mut self.agents.rows[agent];
-        row.load = load;
-        row.others = (load.running + load.waiting).saturating_sub(row.own);
-        self.refresh(now, agent);
-    }
-
-    /// Carries an agent's state over to its lanes.
-    pub(crate) fn refresh(&mut self, now: Time, agent: usize) {
-        let row = &self.agents.rows[agent];
-        let usable = row.usable();
-        let slots = row.load.slots;
-        let free = slots.saturating_sub(row.own + row.others);
-        for &(service, lane) in &row.lanes {
-            let service = &mut self.services[service];
-            let limit = service.service.limits.slots.unwrap_or(slots);
-            let (pool, index) = (&mut service.pool, lane);
-            let lane = &mut pool.lanes[index];
-            lane.span = row.trip + lane.speed.run(&pool.speed, &row.speed);
-            lane.usable = usable && !lane.health.is_out();
-            lane.mine = f64::from(slots.saturating_sub(row.others));
-            lane.fill = (row.own + row.others) * 1_000 / slots.max(1);
-            let most = limit.min(lane.health.window());
-            let room = free.min(most.saturating_sub(lane.own));
-            let room = if self.settings.policy.push { 1 } else { room };
-            let open = lane.usable && now >= row.closed;
-            lane.open = if open { room } else { 0 };
-            pool.settle(index);
-        }
-    }
-
     /// Puts an accepted submission in the queue of its service.
     fn enqueue(&mut self, now: Time, service: usize, work: Work) {
         let tasks = work.bodies.len();
--- a/crates/chervilring_core/src/dispatch/mod.rs
+++ b/crates/chervilring_core/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod endings;
 mod health;
 mod hedges;
+mod lanes;
 mod policy;
 mod pool;
 mod queue;
--- a/crates/chervilring_core/src/dispatch/upkeep.rs
+++ b/crates/chervilring_core/src/dispatch/upkeep.rs
@@ -12,6 +12,9 @@
 /// How often lanes without work forget what was learnt.
 const SLOW_SPAN: Micros = Micros::from_secs(10);
 
+/// How long a lost agent is remembered.
+const FORGOTTEN: Micros = Micros::from_secs(60);
+
 impl Dispatcher {
     /// Ends the submissions whose deadline has come.
     pub(crate) fn expire(&mut self, now: Time) {
@@ -33,22 +36,42 @@
         self.demand.forget(now);
         self.look_after_lanes(now);
         for agent in 0..self.agents.rows.len() {
-            let row = &mut self.agents.rows[agent];
-            let silence = now.since(row.heard);
-            let lost = silence >= self.settings.lost || now >= row.back_by;
-            let known = row.life;
-            row.life = match known {
-                _ if lost => Life::Lost,
-                _ if silence >= self.settings.suspect => Life::Suspect,
-                _ => Life::Alive,
-            };
-            let suspect = row.life != Life::Alive;
-            if suspect && known == Life::Alive {
-                self.hedge_all(now, agent);
-            }
-            if lost && known != Life::Lost {
-                self.lose(now, agent);
-            }
+            self.look_after_agent(now, agent);
+        }
+    }
+
+    /// Notes whether an agent is thought to be alive, and opens it again after a refusal.
+    fn look_after_agent(&mut self, now: Time, agent: usize) {
+        let row = &mut self.agents.rows[agent];
+        let known = row.life;
+        if known == Life::Removed {
+            return;
+        }
+        let silence = now.since(row.heard);
+        let opens = row.closed > Time::default() && now >= row.closed;
+        if opens {
+            row.closed = Time::default();
+        }
+        let lost = silence >= self.settings.lost || now >= row.back_by;
+        let newest = self.agents.is_last(agent);
+        let life = match known {
+            _ if lost || !newest => Life::Lost,
+            _ if silence >= self.settings.suspect => Life::Suspect,
+            _ => Life::Alive,
+        };
+        let row = &mut self.agents.rows[agent];
+        row.life = life;
+        if life == Life::Lost && silence >= FORGOTTEN && row.own == 0 && !row.linked {
+            self.remove_agent(agent);
+            return;
+        }
+        if life != Life::Alive && known == Life::Alive {
+            self.hedge_all(now, agent);
+        }
+        if life == Life::Lost && known != Life::Lost {
+            self.lose(now, agent);
+        }
+        if life != known || opens {
             self.refresh(now, agent);
         }
     }
@@ -87,7 +110,8 @@
     }
 
     /// Fails all attempts at an agent that was given up.
-    fn lose(&mut self, now: Time, agent: usize) {
+    pub(crate) fn lose(&mut self, now: Time, agent: usize) {
+        self.agents.rows[agent].life = Life::Lost;
         self.counters.lost += 1;
         let there = self.attempts.iter().filter(|(_, a)| a.agent == agent);
         let mut there: Vec<(TaskKey, Attempt)> = there.map(|(k, a)| (*k, *a)).collect();
--- a/crates/chervilring_core/tests/dispatch/admission.rs
+++ b/crates/chervilring_core/tests/dispatch/admission.rs
@@ -5,8 +5,8 @@
 
 use super::fixture::{Fixture, done, quota, service};
 
-fn reason(result: Result<(), Failure>) -> Option<Reason> {
-    let failure = result.err()?;
+fn reason(result: &Result<(), Failure>) -> Option<Reason> {
+    let failure = result.as_ref().err()?;
     assert_eq!(failure.verdict, Verdict::NotRun);
     Some(failure.reason)
 }
@@ -27,15 +27,15 @@
     let mut fixture = Fixture::new(2, service());
     let mut work = fixture.work(1, Kind::Request, 1);
     work.service = "unheard-of".into();
-    assert_eq!(reason(fixture.submit(work)), Some(Reason::UnknownService));
+    assert_eq!(reason(&fixture.submit(work)), Some(Reason::UnknownService));
     let work = fixture.work(2, Kind::Job, 2_001);
-    assert_eq!(reason(fixture.submit(work)), Some(Reason::TooLarge));
+    assert_eq!(reason(&fixture.submit(work)), Some(Reason::TooLarge));
     let mut work = fixture.work(3, Kind::Request, 1);
     work.deadline = fixture.now + Micros(100);
-    assert_eq!(reason(fixture.submit(work)), Some(Reason::Deadline));
+    assert_eq!(reason(&fixture.submit(work)), Some(Reason::Deadline));
     let mut nobody = Fixture::new(0, service());
     let work = nobody.work(4, Kind::Request, 1);
-    assert_eq!(reason(nobody.submit(work)), Some(Reason::NoUpstream));
+    assert_eq!(reason(&nobody.submit(work)), Some(Reason::NoUpstream));
     assert!(fixture.starts.is_empty() && fixture.ended.is_empty());
 }
 
--- a/crates/chervilring_core/tests/dispatch/sickness.rs
+++ b/crates/chervilring_core/tests/dispatch/sickness.rs
@@ -1,6 +1,6 @@
 //! Upstreams that fail, hang, go silent or leave.
 
-use chervilring_wire::{AgentState, Kind, Micros, Reason, Verdict};
+use chervilring_wire::{AgentState, Incarnation, Kind, Micros, Reason, Verdict};
 
 use super::fixture::{Fixture, done, failed, service};
 
@@ -176,3 +176,26 @@
     assert_eq!(fixture.result(1_000).map(Result::is_ok), Some(true));
     assert!(fixture.cancels.contains(&first), "the straggler is dropped");
 }
+
+#[test]
+fn replaced_agents_are_lost_at_once_and_forgotten_later() {
+    let mut fixture = Fixture::new(4, service());
+    let work = fixture.work(1, Kind::Job, 16);
+    fixture.submit(work).expect("there is room");
+    for life in 2..200 {
+        for agent in 0..4 {
+            let id = fixture.agents[agent].clone();
+            fixture.dispatcher.disconnect(fixture.now, &id);
+            fixture.agents[agent].incarnation = Incarnation(life);
+            fixture.announce(agent, AgentState::Ready);
+            let id = fixture.agents[agent].clone();
+            fixture.dispatcher.connect(fixture.now, &id);
+        }
+        fixture.held.clear();
+        fixture.pass(Micros::from_millis(500));
+    }
+    assert!(fixture.result(1).is_some_and(Result::is_err));
+    assert_eq!(fixture.dispatcher.counters().lost, 4 * 198);
+    fixture.pass(Micros::from_secs(61));
+    assert_eq!(fixture.dispatcher.status(fixture.now).agents.len(), 4);
+}
