--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -172,7 +172,8 @@
             media: work.media.clone(),
             body: work.bodies[task as usize].clone(),
         };
-        if idempotent && start.key.attempt.0 == 0 {
+        let hedged = self.services[service].service.rules.hedge_percent > 0;
+        if idempotent && hedged && start.key.attempt.0 == 0 {
             self.plan_hedge(now, start.key, span);
         }
         start
--- a/crates/chervilring_core/tests/dispatch/properties.rs
+++ b/crates/chervilring_core/tests/dispatch/properties.rs
@@ -184,7 +184,10 @@
     assert!(status.services.iter().all(|s| s.queued == 0));
 }
 
-#[expect(clippy::needless_pass_by_value, reason = "the signature that quickcheck calls")]
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the signature that quickcheck calls"
+)]
 fn holds(events: Vec<Event>) -> TestResult {
     if events.is_empty() {
         return TestResult::discard();
--- a/crates/chervilring_dev/src/bench/mod.rs
+++ b/crates/chervilring_dev/src/bench/mod.rs
@@ -148,13 +148,19 @@
         self.next += 1;
         let number = id as usize;
         let body = Bytes::from_static(&[0; 64]);
-        let kind = if self.sizes.tasks == 1 { Kind::Request } else { Kind::Job };
+        let kind = if self.sizes.tasks == 1 {
+            Kind::Request
+        } else {
+            Kind::Job
+        };
         let work = Work {
             id: SubmissionId(id),
             origin: Origin::Keyed,
             kind,
             service: service_name(number % self.sizes.services).as_str().into(),
-            team: format!("team-{}", number % self.sizes.teams).as_str().into(),
+            team: format!("team-{}", number % self.sizes.teams)
+                .as_str()
+                .into(),
             idempotent: true,
             deadline: self.now + Micros::from_secs(3_600),
             media: "text/plain".into(),
@@ -260,7 +266,9 @@
             rules: Rules::new(true, Micros::from_secs(3_600)),
             quotas: quotas.clone(),
         };
-        config.services.insert(service.name.clone(), Arc::new(service));
+        config
+            .services
+            .insert(service.name.clone(), Arc::new(service));
     }
     config
 }
--- a/crates/chervilring_dev/src/commands/mod.rs
+++ b/crates/chervilring_dev/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands.
 
+pub(crate) mod bench;
 pub(crate) mod demo;
 pub(crate) mod platform;
 pub(crate) mod replay;
--- a/crates/chervilring_dev/src/lib.rs
+++ b/crates/chervilring_dev/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, trace replay and the demo: what the project needs to be tried and tested.
 
+pub mod bench;
 pub mod demo;
 pub mod platform;
 pub mod process;
--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 use chervilring_dev::process::SHIPPED;
+use commands::bench::BenchArgs;
 use commands::demo::DemoArgs;
 use commands::platform::PlatformArgs;
 use commands::replay::ReplayArgs;
@@ -22,6 +23,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Bench(BenchArgs),
     Demo(DemoArgs),
     Platform(PlatformArgs),
     Replay(ReplayArgs),
@@ -46,6 +48,7 @@
 
 fn run(args: Args) -> eyre::Result<()> {
     match args.command {
+        Command::Bench(args) => commands::bench::run(&args),
         Command::Demo(_) => commands::demo::run(),
         Command::Platform(args) => commands::platform::run(&args),
         Command::Replay(args) => commands::replay::run(&args),
