Store threads answer that the lease was given back

Cause: no event followed a release, so that the membership held the call to be under way and a planned stop went on until its limit of 10 s. Seen in the demo ('all processes stopped in 10.022 s') and with one entry stopped under load. Ruled out: waiting for the others' versions (the ring was in force at all after 0.2 s).

--- a/crates/chervilring_core/src/membership/step.rs
+++ b/crates/chervilring_core/src/membership/step.rs
@@ -40,6 +40,8 @@
         /// The ring as it stands now, when known.
         ring: Option<(u64, Ring)>,
     },
+    /// The lease was given back.
+    Released,
     /// No answer; a replacement may have taken effect.
     Failed,
 }
--- a/crates/chervilring_core/src/membership/store.rs
+++ b/crates/chervilring_core/src/membership/store.rs
@@ -40,7 +40,7 @@
                 }
                 self.renew = self.renew.min(now.mono + RENEW_SOON);
             }
-            StoreEvent::Failed => {}
+            StoreEvent::Released | StoreEvent::Failed => {}
         }
     }
 
--- a/crates/chervilring_core/tests/at_most_once/store.rs
+++ b/crates/chervilring_core/tests/at_most_once/store.rs
@@ -33,7 +33,7 @@
             StoreCall::Cas { base, ring } => self.cas(base, ring),
             StoreCall::Release => {
                 self.leases.remove(&from.name);
-                StoreEvent::Failed
+                StoreEvent::Released
             }
         }
     }
--- a/crates/chervilring_daemon/src/entry/store.rs
+++ b/crates/chervilring_daemon/src/entry/store.rs
@@ -86,9 +86,7 @@
             reachable = result.is_ok();
             log_reachable(log, result.as_ref().err());
         }
-        if let Some(event) = result.unwrap_or(Some(StoreEvent::Failed)) {
-            inbox.push(Event::Store(event));
-        }
+        inbox.push(Event::Store(result.unwrap_or(StoreEvent::Failed)));
     }
 }
 
@@ -103,28 +101,28 @@
     store: &mut RingStore,
     clock: Clock,
     call: StoreCall,
-) -> Result<Option<StoreEvent>, StoreError> {
+) -> Result<StoreEvent, StoreError> {
     match call {
         StoreCall::Renew => {
             let sent = clock.time();
             let found = store.renew()?;
-            Ok(Some(StoreEvent::Renewed {
+            Ok(StoreEvent::Renewed {
                 sent,
                 kept: found.kept,
                 ring: found.ring,
                 live: found.live,
-            }))
+            })
         }
         StoreCall::Cas { base, ring } => {
             let result = store.cas_ring(base, &ring)?;
-            Ok(Some(StoreEvent::Cas {
+            Ok(StoreEvent::Cas {
                 done: result.done,
                 ring: result.ring,
-            }))
+            })
         }
         StoreCall::Release => {
             store.release()?;
-            Ok(None)
+            Ok(StoreEvent::Released)
         }
     }
 }
