Entry: keep the addresses over a new start after an eviction

Cause: they were asked of the actor, which has ended by then, so that an entry with ports chosen by the system came back on others. The process test of a home paused across its eviction failed so (entry not ready at its address within 30 s); it passes in 9.7 s.

--- a/crates/chervilring_daemon/src/entry/daemon.rs
+++ b/crates/chervilring_daemon/src/entry/daemon.rs
@@ -1,6 +1,5 @@
 //! The actor that owns all state of an entry.
 
-use std::net::SocketAddr;
 use std::thread;
 
 use chervilring_core::entry::{Change, Entry, EntryStep};
@@ -45,7 +44,6 @@
     pub(super) stop_by: Time,
     pub(super) stop_span: Micros,
     inbox: Inbox<Event>,
-    http: SocketAddr,
     timer: Option<FixedTimerKey>,
     settling: bool,
     closing: bool,
@@ -92,7 +90,6 @@
             upkeep: Time::default(),
             stop_by: Time::NEVER,
             stop_span: parts.stop_span,
-            http: parts.http,
             inbox: parts.inbox,
             timer: None,
             settling: false,
@@ -304,11 +301,6 @@
         self.end = Some(end);
     }
 
-    /// Returns the addresses for callers and for peers.
-    pub(super) fn addrs(&self) -> (SocketAddr, SocketAddr) {
-        (self.http, self.datagrams.local_addr())
-    }
-
     fn log_change(&self, change: &Change) {
         match change {
             Change::Ring(version) => info!(self.log, "ring in force"; "version" => version.0),
@@ -337,7 +329,6 @@
     pub(super) listener: Listener,
     pub(super) datagrams: Datagrams,
     pub(super) api: CallerApi,
-    pub(super) http: SocketAddr,
     pub(super) store: StoreThreads,
     pub(super) inbox: Inbox<Event>,
     pub(super) log: Logger,
--- a/crates/chervilring_daemon/src/entry/setup.rs
+++ b/crates/chervilring_daemon/src/entry/setup.rs
@@ -1,7 +1,9 @@
 //! Starts an entry: sockets, threads and the core.
 
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use chervilring_core::dispatch::{DispatchSettings, Dispatcher};
@@ -53,17 +55,20 @@
     let mut settings = settings.clone();
     loop {
         let mut events = EventLoop::new().wrap_err("the event loop cannot be created")?;
+        let addrs = Rc::new(Cell::new(None));
         let setup = Setup {
             settings: settings.clone(),
             log: log.clone(),
+            addrs: Rc::clone(&addrs),
         };
         let stakker = &mut events.stakker;
         let actor = actor!(stakker, EntryDaemon::init(setup), ret_shutdown!(stakker));
         events.run().wrap_err("polling the sockets failed")?;
         // The addresses that the system chose are kept over a new start.
-        if let Some(addrs) = actor.query(&mut events.stakker, |daemon, _| daemon.addrs()) {
+        if let Some(addrs) = addrs.get() {
             (settings.http, settings.peer) = addrs;
         }
+        drop(actor);
         match events.stakker.shutdown_reason() {
             Some(StopCause::Failed(error)) if error.is::<Evicted>() => {
                 info!(log, "joining anew");
@@ -78,6 +83,8 @@
 pub(super) struct Setup {
     settings: EntrySettings,
     log: Logger,
+    /// Takes the addresses for callers and for peers that are listened on.
+    addrs: Rc<Cell<Option<(SocketAddr, SocketAddr)>>>,
 }
 
 impl Setup {
@@ -107,6 +114,8 @@
             move || inbox.push(Event::Stop)
         })?;
         let links = Links::new(poll, fwd_to!([cx], link_ready() as (LinkEvent)));
+        let http = api.addr().unwrap_or(settings.http);
+        self.addrs.set(Some((http, peer)));
         listening::announce(api.addr(), Some(peer));
         let parts = Parts {
             entry: create_core(settings, id, member, clock),
@@ -114,7 +123,6 @@
             links,
             listener,
             datagrams,
-            http: api.addr().unwrap_or(settings.http),
             api,
             store,
             inbox,
--- a/crates/chervilring_dev/tests/processes/kill.rs
+++ b/crates/chervilring_dev/tests/processes/kill.rs
@@ -71,7 +71,9 @@
         result.unwrap();
         drop((again, caller.join().unwrap()));
     });
-    fixture.cluster.wait_ready().unwrap();
+    if let Err(error) = fixture.cluster.wait_ready() {
+        panic!("{error}\n{}", fixture.cluster.report());
+    }
     for entry in 0..3 {
         let response = fixture.settle(entry, &id, &job);
         fixture.check_job(&id, TASKS as u64, &response);
