--- a/crates/chervilring_core/src/config/fields.rs
+++ b/crates/chervilring_core/src/config/fields.rs
@@ -69,9 +69,12 @@
         allowed: &str,
     ) -> Option<T> {
         let value = self.take(name)?;
-        let shown = brief(&value);
-        let read = serde_json::from_value(value).ok();
-        self.noted(read, name, format!("{shown} is not allowed"), allowed)
+        let read = T::deserialize(&value).ok();
+        if read.is_none() {
+            let (path, what) = (self.at(name), format!("{} is not allowed", brief(&value)));
+            self.faults.add(path, what, allowed);
+        }
+        read
     }
 
     /// Reads a field that must be there.
@@ -86,7 +89,9 @@
         }
         self.known.push(name);
         self.rest.remove(name);
-        self.noted(None, name, "missing".into(), allowed)
+        let path = self.at(name);
+        self.faults.add(path, "missing", allowed);
+        None
     }
 
     /// Reads a span that must be there.
@@ -103,8 +108,16 @@
 
     /// Reads an optional list, each item with its path.
     pub(super) fn list(&mut self, name: &'static str) -> Vec<(String, Value)> {
-        let items: Vec<Value> = self.optional(name, "a list").unwrap_or_default();
         let path = self.at(name);
+        let items = match self.take(name) {
+            None => Vec::new(),
+            Some(Value::Array(items)) => items,
+            Some(other) => {
+                let what = format!("{} is no list", brief(&other));
+                self.faults.add(&*path, what, "a list");
+                Vec::new()
+            }
+        };
         let indexed = items.into_iter().enumerate();
         indexed.map(|(i, v)| (format!("{path}[{i}]"), v)).collect()
     }
@@ -117,14 +130,6 @@
                 .add(join(self.path, name), "unknown field", &allowed);
         }
     }
-
-    fn noted<T>(&mut self, read: Option<T>, name: &str, what: String, allowed: &str) -> Option<T> {
-        if read.is_none() {
-            let path = self.at(name);
-            self.faults.add(path, what, allowed);
-        }
-        read
-    }
 }
 
 /// A value read through an adapter.
