Stand-in of the store: answers sent at once; measure-config

The connections inherit the option from the listener. measure-config prints size and cost of the configuration and counts the calls of the store.

--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -9,6 +9,7 @@
 use chervilring_dev::process::SHIPPED;
 use commands::bench::BenchArgs;
 use commands::demo::DemoArgs;
+use commands::measure::MeasureArgs;
 use commands::platform::PlatformArgs;
 use commands::replay::ReplayArgs;
 use commands::upstream::UpstreamArgs;
@@ -25,6 +26,7 @@
 enum Command {
     Bench(BenchArgs),
     Demo(DemoArgs),
+    Measure(MeasureArgs),
     Platform(PlatformArgs),
     Replay(ReplayArgs),
     Upstream(UpstreamArgs),
@@ -50,6 +52,7 @@
     match args.command {
         Command::Bench(args) => commands::bench::run(&args),
         Command::Demo(_) => commands::demo::run(),
+        Command::Measure(_) => commands::measure::run(),
         Command::Platform(args) => commands::platform::run(&args),
         Command::Replay(args) => commands::replay::run(&args),
         Command::Upstream(args) => commands::upstream::run(args),
--- a/crates/chervilring_dev/src/platform/counts.rs
+++ b/crates/chervilring_dev/src/platform/counts.rs
@@ -51,6 +51,21 @@
         self.range + self.txn_read + self.txn_write + leases + self.watch
     }
 
+    /// Returns the calls that came in after an earlier count.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            range: self.range - earlier.range,
+            txn_read: self.txn_read - earlier.txn_read,
+            txn_write: self.txn_write - earlier.txn_write,
+            lease_grant: self.lease_grant - earlier.lease_grant,
+            lease_keepalive: self.lease_keepalive - earlier.lease_keepalive,
+            lease_revoke: self.lease_revoke - earlier.lease_revoke,
+            watch: self.watch - earlier.watch,
+            limited: self.limited - earlier.limited,
+            failed: self.failed - earlier.failed,
+        }
+    }
+
     pub(super) fn add(&mut self, kind: CallKind) {
         let count = match kind {
             CallKind::Range => &mut self.range,
--- a/crates/chervilring_dev/src/platform/faults.rs
+++ b/crates/chervilring_dev/src/platform/faults.rs
@@ -55,6 +55,8 @@
     pub late_ms: u64,
     /// The share of calls that fail without an effect, in percent.
     pub fail_percent: u32,
+    /// Whether watches wait without a word, as on connections that died unseen.
+    pub mute: bool,
     /// Writes a second; more are refused with status 429.
     pub writes_per_s: Option<u32>,
     /// Reads a second; more are refused with status 429.
--- a/crates/chervilring_dev/src/platform/server.rs
+++ b/crates/chervilring_dev/src/platform/server.rs
@@ -1,7 +1,8 @@
 //! The HTTP side: a thread for each call, as `tiny_http` answers from any thread.
 
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -66,9 +67,9 @@
     ///
     /// Returns an error when it cannot listen there.
     pub fn start(listen: SocketAddr, faults: Faults) -> io::Result<Self> {
-        let server = Server::http(listen).map_err(io::Error::other)?;
-        let addr = server.server_addr().to_ip();
-        let addr = addr.ok_or_else(|| io::Error::other("no address"))?;
+        let listener = bind(listen)?;
+        let addr = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let shared = Arc::new(Shared {
             state: Mutex::new(State::new()),
             changed: Condvar::new(),
@@ -149,6 +150,17 @@
     }
 }
 
+/// Listens so that answers are sent at once.
+///
+/// The connections inherit this from the listener. Without it an answer of more than one segment
+/// waits some 40 ms for the acknowledgement of its first.
+fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(listen)?;
+    let socket = TcpStream::from(OwnedFd::from(listener));
+    socket.set_nodelay(true)?;
+    Ok(TcpListener::from(OwnedFd::from(socket)))
+}
+
 fn accept(server: &Server, shared: &Arc<Shared>, kicker: &Kicker) {
     while let Ok(request) = server.recv() {
         if let Some(addr) = request.remote_addr() {
@@ -309,7 +321,7 @@
         if state.closed || state.fates.faults.down == Down::Refuse {
             break;
         }
-        let hung = state.fates.faults.down == Down::Hang;
+        let hung = state.fates.faults.down == Down::Hang || state.fates.faults.mute;
         if !hung && next <= state.kv.compacted {
             let compacted = state.kv.compacted.to_string();
             let canceled = json!({ "canceled": true, "compact_revision": compacted });
