--- a/crates/chervilring_dev/src/bench/mod.rs
+++ b/crates/chervilring_dev/src/bench/mod.rs
@@ -182,7 +182,7 @@
 
     /// Keeps all slots at work; returns the seconds for each task.
     fn churn(&mut self) -> f64 {
-        for _ in 0..self.sizes.agents * SLOTS as usize / self.sizes.tasks + 1 {
+        for _ in 0..=self.sizes.agents * SLOTS as usize / self.sizes.tasks {
             self.submit();
         }
         self.run();
