--- a/crates/chervilring_dev/examples/agent_overhead.rs
+++ b/crates/chervilring_dev/examples/agent_overhead.rs
@@ -11,7 +11,10 @@
 
 use chervilring_dev::process::{Process, Program};
 use chervilring_dev::upstream::{Upstream, UpstreamSettings};
-use chervilring_wire::{AgentState, Micros};
+use chervilring_wire::codec::write_datagram;
+use chervilring_wire::{
+    AgentId, AgentState, Announce, Datagram, Incarnation, Load, Micros, Revision, RingVersion,
+};
 use eyre::{WrapErr, ensure};
 use fake_entry::FakeEntry;
 use hdrhistogram::Histogram;
@@ -49,6 +52,7 @@
     entry.wait_state(AgentState::Ready);
 
     at_rest(&agent)?;
+    println!("an announcement: {} bytes", announcement()?);
     let direct = direct(&upstream)?;
     let through = one_by_one(&mut entry)?;
     for (name, q) in [("p50", 0.5), ("p99", 0.99)] {
@@ -71,6 +75,29 @@
     Ok(())
 }
 
+/// Returns the bytes of the payload of an announcement with one service and one label.
+fn announcement() -> eyre::Result<usize> {
+    let incarnation = Incarnation(1_796_353_720_461_232);
+    let announce = Announce {
+        agent: AgentId {
+            name: "worker-001".into(),
+            incarnation,
+        },
+        domain: "norte".into(),
+        state: AgentState::Ready,
+        services: vec!["parts".into()],
+        labels: vec!["rack=3".into()],
+        load: Load {
+            slots: SLOTS,
+            running: 4,
+            waiting: 0,
+        },
+        ring: RingVersion(300),
+        revision: Revision(38_000),
+    };
+    Ok(write_datagram(&Datagram::Announce(announce))?.len())
+}
+
 /// Calls the upstream as the agent does, without the agent.
 fn direct(upstream: &Upstream) -> eyre::Result<Histogram<u64>> {
     let client = ureq::Agent::new_with_defaults();
