Entry: due submissions and running ids are found without a scan

Held submissions were searched in full at each run, and all remembered ids while a hand-over was due: at the limits (10,000 held, a million ids) each batch of events would have cost milliseconds. Both are kept in order now.

--- a/crates/chervilring_core/src/entry/handover.rs
+++ b/crates/chervilring_core/src/entry/handover.rs
@@ -40,8 +40,7 @@
 
     /// Returns whether a submission that moves to an entry is still running here.
     fn moves_running(&self, to: &EntryId) -> bool {
-        let mut running = self.ids.keyed();
-        running.any(|(id, _, known)| matches!(known, Known::Running) && self.moves(id, to))
+        self.ids.running_keyed().any(|id| self.moves(id, to))
     }
 
     fn moves(&self, id: SubmissionId, to: &EntryId) -> bool {
--- a/crates/chervilring_core/src/entry/held.rs
+++ b/crates/chervilring_core/src/entry/held.rs
@@ -1,6 +1,8 @@
 //! Submissions that wait for their home to be settled.
 
-use chervilring_wire::{Submission, Time};
+use std::collections::BTreeMap;
+
+use chervilring_wire::{Micros, Submission, Time};
 
 use super::waits::Caller;
 
@@ -17,35 +19,36 @@
     pub(super) look_at: Time,
 }
 
-/// The submissions that wait.
+/// The submissions that wait, by when they are due.
 #[derive(Debug, Default)]
 pub(super) struct HeldTable {
-    table: Vec<Held>,
+    table: BTreeMap<(Time, u64), Held>,
+    last: u64,
 }
 
 impl HeldTable {
     pub(super) fn add(&mut self, held: Held) {
-        self.table.push(held);
+        self.last += 1;
+        let due = held.look_at.min(held.deadline);
+        self.table.insert((due, self.last), held);
     }
 
     /// Takes those that are due to be routed again.
     pub(super) fn due(&mut self, now: Time) -> Vec<Held> {
-        let due = |held: &mut Held| held.look_at <= now || held.deadline <= now;
-        self.table.extract_if(.., due).collect()
+        let later = self.table.split_off(&(now + Micros(1), 0));
+        let due = std::mem::replace(&mut self.table, later);
+        due.into_values().collect()
     }
 
     /// Takes all.
     pub(super) fn take_all(&mut self) -> Vec<Held> {
-        std::mem::take(&mut self.table)
+        std::mem::take(&mut self.table).into_values().collect()
     }
 
     /// Returns when the next one is due.
     pub(super) fn next_look(&self) -> Time {
-        let looks = self
-            .table
-            .iter()
-            .map(|held| held.look_at.min(held.deadline));
-        looks.min().unwrap_or(Time::NEVER)
+        let first = self.table.first_key_value();
+        first.map_or(Time::NEVER, |((due, _), _)| *due)
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/chervilring_core/src/entry/ids.rs
+++ b/crates/chervilring_core/src/entry/ids.rs
@@ -6,7 +6,7 @@
 use chervilring_wire::{
     Failure, Now, Origin, Reason, Reply, Stamp, SubmissionId, TaskOutput, Time, Verdict,
 };
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::limits::Limits;
 
@@ -37,7 +37,7 @@
     /// Ended ids with a kept reply, oldest first.
     kept: VecDeque<SubmissionId>,
     kept_bytes: usize,
-    running: usize,
+    running: FxHashSet<SubmissionId>,
     unstamped: usize,
     limits: Limits,
     /// The latest wall-clock time seen, so that a clock set back does not bring old ids back.
@@ -52,7 +52,7 @@
             expiries: BinaryHeap::new(),
             kept: VecDeque::new(),
             kept_bytes: 0,
-            running: 0,
+            running: FxHashSet::default(),
             unstamped: 0,
             limits: limits.clone(),
             latest: Stamp::default(),
@@ -102,7 +102,7 @@
     /// Adds an id whose tasks are about to be queued.
     pub(super) fn insert(&mut self, now: Now, id: SubmissionId, fingerprint: u128, origin: Origin) {
         self.add(now, id, fingerprint, origin, Known::Running);
-        self.running += 1;
+        self.running.insert(id);
     }
 
     /// Adds an id that ended at another entry and was handed over.
@@ -150,9 +150,7 @@
         let Some(record) = self.table.get(&id) else {
             return false;
         };
-        if matches!(record.known, Known::Running) {
-            self.running -= 1;
-        }
+        self.running.remove(&id);
         let forget = record.origin == Origin::Local || may_start_anew(&reply);
         if forget {
             self.remove(id);
@@ -228,7 +226,16 @@
 
     /// Returns how many submissions run.
     pub(super) fn running(&self) -> usize {
-        self.running
+        self.running.len()
+    }
+
+    /// Returns the keyed ids that run.
+    pub(super) fn running_keyed(&self) -> impl Iterator<Item = SubmissionId> + '_ {
+        let keyed = |id: &SubmissionId| {
+            let record = self.table.get(id);
+            record.is_some_and(|record| record.origin == Origin::Keyed)
+        };
+        self.running.iter().copied().filter(keyed)
     }
 
     /// Returns how many ids are remembered.
