--- a/crates/chervilring_dev/src/bench/mod.rs
+++ b/crates/chervilring_dev/src/bench/mod.rs
@@ -1,5 +1,7 @@
 //! What the dispatcher costs: a closed loop of submissions, starts and answers without any I/O.
 
+mod wire;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
@@ -12,6 +14,7 @@
     SubmissionId, TaskAnswer, TaskKey, TaskOutcome, TaskOutput, Time,
 };
 use serde::Serialize;
+pub use wire::{WireCost, measure_wire};
 
 /// Slots of each agent.
 const SLOTS: u32 = 8;
@@ -53,6 +56,8 @@
     pub state_bytes: u64,
     /// Resident bytes of what waits.
     pub waiting_bytes: u64,
+    /// Bytes of the configuration's document.
+    pub config_bytes: usize,
 }
 
 /// A loop around a dispatcher.
@@ -84,6 +89,7 @@
         idle_us,
         state_bytes: state.saturating_sub(before),
         waiting_bytes: full.saturating_sub(state),
+        config_bytes: config(sizes).to_json().len(),
     }
 }
 
--- a/crates/chervilring_dev/src/commands/bench.rs
+++ b/crates/chervilring_dev/src/commands/bench.rs
@@ -1,7 +1,7 @@
 //! `chervilring_dev bench`: what dispatch costs, over a decade and more of each size.
 
 use argh::FromArgs;
-use chervilring_dev::bench::{Sizes, measure};
+use chervilring_dev::bench::{Sizes, measure, measure_wire};
 
 /// measures what dispatch costs in processor time and memory; prints JSON lines
 #[derive(Debug, FromArgs)]
@@ -27,6 +27,10 @@
     #[argh(option, default = "100")]
     waiting: usize,
 
+    /// measure the messages on the wire instead
+    #[argh(switch)]
+    wire: bool,
+
     /// task starts to measure over (default: 200000)
     #[argh(option, default = "200000")]
     starts: usize,
@@ -38,6 +42,12 @@
 ///
 /// Returns an error when the figures do not encode.
 pub(crate) fn run(args: &BenchArgs) -> eyre::Result<()> {
+    if args.wire {
+        for cost in measure_wire() {
+            println!("{}", serde_json::to_string(&cost)?);
+        }
+        return Ok(());
+    }
     let sizes = Sizes {
         agents: args.agents.max(1),
         services: args.services.max(1),
