Measure what a request spends in entry and agent

`chervilring_dev latency` sends requests in closed loops through a real entry and straight to the upstreams; the difference is what entry and agent add.

--- a/crates/chervilring_dev/src/lib.rs
+++ b/crates/chervilring_dev/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod bench;
 pub mod demo;
+pub mod latency;
 pub mod measure;
 pub mod platform;
 pub mod process;
--- a/crates/chervilring_dev/src/main.rs
+++ b/crates/chervilring_dev/src/main.rs
@@ -9,6 +9,7 @@
 use chervilring_dev::process::SHIPPED;
 use commands::bench::BenchArgs;
 use commands::demo::DemoArgs;
+use commands::latency::LatencyArgs;
 use commands::measure::MeasureArgs;
 use commands::platform::PlatformArgs;
 use commands::replay::ReplayArgs;
@@ -27,6 +28,7 @@
     Bench(BenchArgs),
     Demo(DemoArgs),
     Measure(MeasureArgs),
+    Latency(LatencyArgs),
     Platform(PlatformArgs),
     Replay(ReplayArgs),
     Upstream(UpstreamArgs),
@@ -53,6 +55,7 @@
         Command::Bench(args) => commands::bench::run(&args),
         Command::Demo(_) => commands::demo::run(),
         Command::Measure(_) => commands::measure::run(),
+        Command::Latency(_) => commands::latency::run(),
         Command::Platform(args) => commands::platform::run(&args),
         Command::Replay(args) => commands::replay::run(&args),
         Command::Upstream(args) => commands::upstream::run(args),
--- a/crates/chervilring_dev/src/process/cluster.rs
+++ b/crates/chervilring_dev/src/process/cluster.rs
@@ -103,7 +103,8 @@
             .flag("name", &name)
             .flag("agent", agent.url())
             .flag("speed", plan.speed)
-            .flag("slots", plan.slots);
+            .flag("slots", plan.slots)
+            .flag("connections", plan.connections);
         for service in &plan.services {
             program = program.flag("service", service);
         }
--- a/crates/chervilring_dev/src/process/plan.rs
+++ b/crates/chervilring_dev/src/process/plan.rs
@@ -20,6 +20,7 @@
 pub struct WorkerPlan {
     pub(super) speed: f64,
     pub(super) slots: u32,
+    pub(super) connections: u32,
     pub(super) services: Vec<String>,
 }
 
@@ -67,6 +68,7 @@
         Self {
             speed: 1.0,
             slots: 8,
+            connections: 64,
             services: vec![service.to_owned()],
         }
     }
@@ -83,6 +85,12 @@
         self
     }
 
+    /// Sets how many connections the upstream accepts.
+    pub fn connections(mut self, connections: u32) -> Self {
+        self.connections = connections;
+        self
+    }
+
     /// Adds a service.
     pub fn service(mut self, service: &str) -> Self {
         self.services.push(service.to_owned());
