--- a/crates/chervilring_core/tests/config.rs
+++ b/crates/chervilring_core/tests/config.rs
@@ -45,6 +45,15 @@
     assert_eq!(service.quotas[&TeamName::from("andino")], quota);
 }
 
+#[test]
+fn example_for_operators_is_valid() {
+    let page = include_str!("../../../docs/NOTES.md");
+    let (_, rest) = page.split_once("```json\n").expect("an example");
+    let (example, _) = rest.split_once("```").expect("its end");
+    let note = Note::parse(example).unwrap();
+    assert_eq!((note.added.len(), note.withdrawn.len()), (1, 1));
+}
+
 #[test]
 fn each_fault_has_its_path_and_what_is_allowed() {
     let span = "text of a whole number and a unit (us, ms, s, min)";
