--- a/crates/chervilring/src/commands/status.rs
+++ b/crates/chervilring/src/commands/status.rs
@@ -1,6 +1,6 @@
 //! `chervilring status`: shows what entries report of themselves.
 
-use std::fmt::Write;
+use std::fmt::{self, Write};
 use std::time::Duration;
 
 use argh::FromArgs;
@@ -66,31 +66,89 @@
 }
 
 fn print_text(report: &Value) {
-    let entry = report["entry"].as_str().unwrap_or_default();
+    let address = report["entry"].as_str().unwrap_or_default();
     if let Some(error) = report["error"].as_str() {
-        output::print(&format!("{entry}\n  {error}\n"));
+        output::print(&format!("{address}\n  {error}\n"));
         return;
     }
-    let mut text = format!("{entry}\n");
-    write_value(&mut text, &report["status"], 1);
+    let mut text = String::new();
+    // Writing to a string cannot fail.
+    let _ = write_status(&mut text, address, &report["status"]);
     output::print(&text);
 }
 
-/// Writes a value with one line for each member, indented by its depth.
-fn write_value(text: &mut String, value: &Value, depth: usize) {
-    let members: Vec<(String, &Value)> = match value {
-        Value::Object(map) => map.iter().map(|(k, v)| (k.clone(), v)).collect(),
-        Value::Array(list) => list.iter().map(|v| ("-".to_owned(), v)).collect(),
-        _ => return,
+/// Writes the status of an entry: one line for it, and one for each service and upstream.
+fn write_status(text: &mut String, address: &str, status: &Value) -> fmt::Result {
+    let membership = &status["membership"];
+    let ready = if status["ready"] == true {
+        "ready"
+    } else {
+        "not ready"
     };
-    for (name, member) in members {
-        let indent = "  ".repeat(depth);
-        // Writing to a string cannot fail.
-        let _ = match member {
-            Value::Object(_) | Value::Array(_) => writeln!(text, "{indent}{name}"),
-            Value::String(word) => writeln!(text, "{indent}{name}: {word}"),
-            other => writeln!(text, "{indent}{name}: {other}"),
-        };
-        write_value(text, member, depth + 1);
+    writeln!(
+        text,
+        "{address}  entry {}: {ready}, revision {}, ring {} ({}), {} running, {} callers wait",
+        word(&status["entry"]),
+        status["revision"],
+        membership["ring"],
+        word(&membership["phase"]),
+        status["running"],
+        status["waiting"],
+    )?;
+    for peer in list(&membership["peers"]) {
+        let up = if peer["up"] == true { "up" } else { "down" };
+        writeln!(
+            text,
+            "  entry {}: {up}, {}",
+            word(&peer["name"]),
+            word(&peer["domain"])
+        )?;
+    }
+    for service in list(&status["dispatch"]["services"]) {
+        let (name, queued) = (word(&service["service"]), &service["queued"]);
+        writeln!(
+            text,
+            "  service {name}: {queued} queued, {} upstreams",
+            service["upstreams"]
+        )?;
+    }
+    for agent in list(&status["dispatch"]["agents"]) {
+        writeln!(
+            text,
+            "  upstream of {}: {}, {}, {} slots, {} tasks of this entry, {} of others",
+            word(&agent["agent"]["name"]),
+            word(&agent["state"]),
+            word(&agent["domain"]),
+            agent["slots"],
+            agent["own"],
+            agent["others"],
+        )?;
     }
+    write_lags(text, status)
+}
+
+/// Writes which processes have another revision in force than this entry.
+fn write_lags(text: &mut String, status: &Value) -> fmt::Result {
+    let own = &status["revision"];
+    for (kind, name, rows) in [("entry", "entry", "peers"), ("agent", "agent", "agents")] {
+        for row in list(&status[rows]) {
+            if row["revision"] != *own {
+                let who = word(&row[name]);
+                writeln!(
+                    text,
+                    "  {kind} {who} has revision {}, not {own}",
+                    row["revision"]
+                )?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn list(value: &Value) -> &[Value] {
+    value.as_array().map_or(&[], Vec::as_slice)
+}
+
+fn word(value: &Value) -> &str {
+    value.as_str().unwrap_or("?")
 }
