Planned stops: ids move to other homes first, while the leaving entry drains

Cause: a stopping entry first finished what ran and only then left the ring; its share of new ids was held by the others until then, and callers of a restarted entry were told 'may have run' until links to it were up (22 of 15,500 calls in one rolling restart of two of three entries). Now a member can be draining: it stays a member, so that agents let it go on with what it took on, but is the home of no id; the ids move as with a join, and answers follow by hand-over. An entry that joins waits up to 1 s for links to all members. An id that has moved is answered where it is known.

--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -52,6 +52,7 @@
             ticket,
         };
         match self.membership.place(submission.id) {
+            _ if self.ids.get(submission.id).is_some() => self.admit(now, caller, submission),
             Place::Here => self.admit(now, caller, submission),
             // The rings differ for a moment: the other entry looks again rather than a second hop.
             Place::At(_) | Place::Nowhere => {
@@ -63,7 +64,8 @@
 
     /// Brings a submission to its home.
     pub(super) fn route(&mut self, now: Now, caller: Caller, submission: Submission) {
-        if submission.origin == Origin::Local {
+        // An id that has moved on is answered here as long as it is known.
+        if submission.origin == Origin::Local || self.ids.get(submission.id).is_some() {
             return self.admit(now, caller, submission);
         }
         match self.membership.place(submission.id) {
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -138,10 +138,11 @@
     }
 
     /// Begins a planned stop: nothing new is taken, what runs is finished, ids are handed over.
-    pub fn leave(&mut self) {
+    pub fn leave(&mut self, now: Now) {
         if !self.stopping {
             self.stopping = true;
             self.steps.push(EntryStep::Change(Change::Stopping));
+            self.membership.drain_out(now);
         }
     }
 
--- a/crates/chervilring_core/src/membership/adopt.rs
+++ b/crates/chervilring_core/src/membership/adopt.rs
@@ -61,7 +61,7 @@
         let rings = chain(old, &self.ring);
         for pair in rings.windows(2) {
             let [from, to] = pair else { continue };
-            if !to.members.contains(&self.own) {
+            if !to.homes.contains(&self.own) {
                 continue;
             }
             if from.version.0 + 1 == to.version.0 {
@@ -73,9 +73,9 @@
     }
 
     fn add_pair(&mut self, now: Time, from: &OldRing, to: &OldRing) {
-        let joined = !from.members.contains(&self.own);
-        for home in &from.members {
-            if *home != self.own && (joined || !to.members.contains(home)) {
+        let joined = !from.homes.contains(&self.own);
+        for home in &from.homes {
+            if *home != self.own && (joined || !to.homes.contains(home)) {
                 self.add_source(now, from, to, Some(home.clone()));
             }
         }
@@ -86,9 +86,9 @@
         let alone = left.count() == 1;
         let living = home.as_ref().is_some_and(|h| to.members.contains(h));
         self.sources.push(Source {
-            old: names(&from.members),
+            old: names(&from.homes),
             home,
-            new: names(&to.members),
+            new: names(&to.homes),
             version: to.version,
             living,
             alone,
@@ -120,10 +120,12 @@
             }
             self.peers.insert(entry, peer);
         }
+        let drained = old.homes().any(|m| m.entry == self.own)
+            && !self.ring.homes().any(|m| m.entry == self.own);
         for peer in self.peers.values_mut() {
             peer.beat = now;
             peer.told = false;
-            if matches!(self.phase, Phase::Leaving(_)) {
+            if drained || matches!(self.phase, Phase::Leaving(_)) {
                 peer.hand = Hand::Due;
             }
         }
--- a/crates/chervilring_core/src/membership/change.rs
+++ b/crates/chervilring_core/src/membership/change.rs
@@ -18,10 +18,7 @@
 pub(crate) fn replace(ring: &Ring, mut members: Vec<Member>) -> Ring {
     members.sort_unstable_by(|a, b| a.entry.cmp(&b.entry));
     let mut older = ring.older.clone();
-    older.push(OldRing {
-        version: ring.version,
-        members: ids(ring),
-    });
+    older.push(OldRing::from(ring));
     let spare = older.len().saturating_sub(OLDER_KEPT);
     let settled = older.iter().take(spare);
     let drop = settled.take_while(|old| old.version < ring.settled).count();
@@ -34,6 +31,15 @@
     }
 }
 
+/// Returns the ring in which a member is the home of no id any more, as the one after `ring`.
+pub(crate) fn drain(ring: &Ring, entry: &EntryId) -> Ring {
+    let mut members = ring.members.clone();
+    for member in members.iter_mut().filter(|m| m.entry == *entry) {
+        member.draining = true;
+    }
+    replace(ring, members)
+}
+
 /// Returns the ring with all older ones out of force.
 pub(crate) fn settle(ring: &Ring) -> Ring {
     Ring {
@@ -61,16 +67,10 @@
 pub(crate) fn chain(old: &Ring, new: &Ring) -> Vec<OldRing> {
     let mut chain = Vec::new();
     if old.version.0 > 0 {
-        chain.push(OldRing {
-            version: old.version,
-            members: ids(old),
-        });
+        chain.push(OldRing::from(old));
     }
     let between = new.older.iter().filter(|r| r.version > old.version);
     chain.extend(between.cloned());
-    chain.push(OldRing {
-        version: new.version,
-        members: ids(new),
-    });
+    chain.push(OldRing::from(new));
     chain
 }
--- a/crates/chervilring_core/src/membership/source.rs
+++ b/crates/chervilring_core/src/membership/source.rs
@@ -32,11 +32,11 @@
 /// The move of ids from a former home to this entry.
 #[derive(Debug)]
 pub(crate) struct Source {
-    /// The names of the members of the ring that they moved from.
+    /// The names of the homes of the ring that they moved from.
     pub(crate) old: Vec<Name>,
     /// The former home; any when the rings between are not known.
     pub(crate) home: Option<EntryId>,
-    /// The names of the members of the ring that they moved to.
+    /// The names of the homes of the ring that they moved to.
     pub(crate) new: Vec<Name>,
     /// The ring that they moved to.
     pub(crate) version: RingVersion,
--- a/crates/chervilring_core/src/membership/store.rs
+++ b/crates/chervilring_core/src/membership/store.rs
@@ -2,11 +2,11 @@
 
 use chervilring_wire::{Member, Now, Ring, Time};
 
-use super::change::{first, replace, room, settle};
+use super::change::{drain, first, replace, room, settle};
 use super::peer::Hand;
 use super::state::{Membership, Phase};
 use super::step::{MemberStep, StoreCall, StoreEvent};
-use super::times::{LEAVE_LIMIT, LEAVE_PATIENCE, RENEW, RENEW_SOON};
+use super::times::{LEAVE_LIMIT, LEAVE_PATIENCE, MEET_PATIENCE, RENEW, RENEW_SOON};
 
 impl Membership {
     /// Takes in the outcome of a call to the store.
@@ -44,7 +44,15 @@
         }
     }
 
-    /// Begins a planned stop: this entry starts nothing any more.
+    /// Prepares a planned stop: other entries become the homes of this one's ids, while it goes on
+    /// with what it took on.
+    pub fn drain_out(&mut self, now: Now) {
+        self.observe(now);
+        self.draining = true;
+        self.renew = now.mono;
+    }
+
+    /// Ends a planned stop: this entry starts nothing any more.
     pub fn leave(&mut self, now: Now) {
         self.observe(now);
         if matches!(self.phase, Phase::Left | Phase::Leaving(_) | Phase::Out(_)) {
@@ -56,8 +64,11 @@
         } else {
             Phase::Out(now.mono)
         };
+        let home = self.ring.homes().any(|m| m.entry == self.own);
         for peer in self.peers.values_mut() {
-            peer.hand = Hand::Due;
+            if home {
+                peer.hand = Hand::Due;
+            }
             peer.told = false;
             peer.beat = now.mono;
         }
@@ -79,8 +90,11 @@
         if self.calling || over || now < self.renew {
             return;
         }
-        let leaving = matches!(self.phase, Phase::Leaving(_) | Phase::Out(_));
-        let soon = leaving || self.may_settle(now);
+        let changing = matches!(
+            self.phase,
+            Phase::Joining | Phase::Leaving(_) | Phase::Out(_)
+        );
+        let soon = changing || self.may_settle(now);
         self.renew = now + if soon { RENEW_SOON } else { RENEW };
         self.call(StoreCall::Renew);
     }
@@ -132,7 +146,10 @@
         if let Some(next) = self.without_lost(now, ring) {
             return Some(next);
         }
-        if self.phase == Phase::Joining && !open {
+        if self.phase == Phase::Member && !open && self.may_drain(ring) {
+            return Some(drain(ring, &self.own));
+        }
+        if self.phase == Phase::Joining && !open && self.has_met(now, ring) {
             let mut members = ring.members.clone();
             members.push(self.settings.member.clone());
             return Some(replace(ring, members));
@@ -140,6 +157,20 @@
         None
     }
 
+    /// Returns whether links to all members are up, so that they can pass ids on to this entry as
+    /// soon as it has joined; a member that cannot be reached is not waited for long.
+    fn has_met(&mut self, now: Time, ring: &Ring) -> bool {
+        let until = *self.meet_by.get_or_insert(now + MEET_PATIENCE);
+        now >= until || ring.members.iter().all(|m| self.up.contains(&m.entry))
+    }
+
+    /// Returns whether this entry is to hand its ids to others and there is another.
+    fn may_drain(&self, ring: &Ring) -> bool {
+        let own = |m: &Member| m.entry == self.own;
+        let home = ring.homes().any(own);
+        self.draining && home && ring.homes().any(|m| !own(m))
+    }
+
     /// Returns the ring without its lost members, if there are any.
     fn without_lost(&mut self, now: Time, ring: &Ring) -> Option<Ring> {
         if !room(ring) {
--- a/crates/chervilring_core/src/membership/times.rs
+++ b/crates/chervilring_core/src/membership/times.rs
@@ -32,6 +32,9 @@
 /// How long a new home waits for the answers of a living home after it knows the ids.
 pub(crate) const HANDOVER_GRACE: Micros = Micros::from_secs(30);
 
+/// How long an entry that joins waits for links to all members.
+pub(crate) const MEET_PATIENCE: Micros = Micros::from_secs(1);
+
 /// How long a leaving entry waits for its peers to take its ids over.
 pub(crate) const LEAVE_PATIENCE: Micros = Micros::from_secs(5);
 
--- a/crates/chervilring_core/tests/agent/world.rs
+++ b/crates/chervilring_core/tests/agent/world.rs
@@ -218,13 +218,10 @@
                 entry: self.entries[n].clone(),
                 domain: "norte".into(),
                 addr: ([127, 0, 0, 1], 1_000 + n as u16).into(),
+                draining: false,
             })
             .collect();
-        let former = self.ring.members.iter().map(|m| m.entry.clone());
-        self.ring.older.push(OldRing {
-            version: self.ring.version,
-            members: former.collect(),
-        });
+        self.ring.older.push(OldRing::from(&self.ring));
         self.rings.push(self.ring.clone());
         self.ring.version.0 += 1;
         self.ring.members = members;
--- a/crates/chervilring_core/tests/at_most_once/ops.rs
+++ b/crates/chervilring_core/tests/at_most_once/ops.rs
@@ -30,7 +30,7 @@
             Op::BootAgent(n) => self.after(0, Due::Boot(Node::Agent(n.into()))),
             Op::Leave(n) => {
                 if self.runs(n.into()) {
-                    self.with_entry(n.into(), |entry, _| entry.leave());
+                    self.with_entry(n.into(), Entry::leave);
                 }
             }
             Op::PauseEntry(n, ms) => self.pause(Node::Entry(n.into()), span(ms)),
--- a/crates/chervilring_core/tests/at_most_once/world.rs
+++ b/crates/chervilring_core/tests/at_most_once/world.rs
@@ -386,6 +386,7 @@
             entry: id.clone(),
             domain: format!("domain{n}").as_str().into(),
             addr: ([127, 0, 0, 1], 4_000 + n as u16).into(),
+            draining: false,
         };
         let skew = Micros::from_secs(if self.exact { 0 } else { 5 });
         let settings = MemberSettings::builder(member.clone()).skew(skew);
--- a/crates/chervilring_daemon/src/entry/daemon.rs
+++ b/crates/chervilring_daemon/src/entry/daemon.rs
@@ -134,7 +134,7 @@
         if self.stop_by == Time::NEVER {
             self.stop_by = self.clock.time() + self.stop_span;
             self.api.refuse();
-            self.entry.leave();
+            self.entry.leave(self.clock.now());
         }
     }
 
--- a/crates/chervilring_daemon/src/entry/setup.rs
+++ b/crates/chervilring_daemon/src/entry/setup.rs
@@ -107,6 +107,7 @@
             entry: id.clone(),
             domain: settings.domain.clone(),
             addr: advertised(settings.advertise, peer),
+            draining: false,
         };
         let store = self.start_store(&id, clock, &inbox)?;
         signals::on_stop({
--- a/crates/chervilring_dev/src/replay/home.rs
+++ b/crates/chervilring_dev/src/replay/home.rs
@@ -53,6 +53,7 @@
         entry: home.id.clone(),
         domain: home.domain.clone(),
         addr: ([127, 0, 0, 1], 1 + i as u16).into(),
+        draining: false,
     });
     Ring {
         version: RingVersion(1),
--- a/crates/chervilring_dev/tests/agent/fake_entry.rs
+++ b/crates/chervilring_dev/tests/agent/fake_entry.rs
@@ -78,6 +78,7 @@
             entry: self.id.clone(),
             domain: "norte".into(),
             addr: self.addr,
+            draining: false,
         };
         let ring = Ring {
             version: RingVersion(1),
--- a/crates/chervilring_dev/tests/processes/common.rs
+++ b/crates/chervilring_dev/tests/processes/common.rs
@@ -98,6 +98,7 @@
         },
         domain: DomainName::from("any"),
         addr: ([127, 0, 0, 1], 1).into(),
+        draining: false,
     };
     let ring = Ring {
         members: (0..3).map(member).collect(),
--- a/crates/chervilring_wire/src/ring.rs
+++ b/crates/chervilring_wire/src/ring.rs
@@ -17,6 +17,9 @@
     pub domain: DomainName,
     /// The address at which peers and agents reach the entry, over TCP and UDP.
     pub addr: SocketAddr,
+    /// Whether it finishes what it took on before it leaves, and is the home of no id any more.
+    #[serde(default)]
+    pub draining: bool,
 }
 
 /// The agreed list of entries, as the platform's store holds it.
@@ -40,23 +43,35 @@
     pub version: RingVersion,
     /// Its members, ordered by name.
     pub members: Vec<EntryId>,
+    /// Those of them that ids were at home with.
+    pub homes: Vec<EntryId>,
+}
+
+impl From<&Ring> for OldRing {
+    fn from(ring: &Ring) -> Self {
+        Self {
+            version: ring.version,
+            members: ring.members.iter().map(|m| m.entry.clone()).collect(),
+            homes: ring.homes().map(|m| m.entry.clone()).collect(),
+        }
+    }
 }
 
 impl OldRing {
     /// Returns the home that a submission had in this ring.
     pub fn home(&self, id: SubmissionId) -> Option<&EntryId> {
-        self.members.iter().max_by_key(|m| score(&m.name, id))
+        self.homes.iter().max_by_key(|m| score(&m.name, id))
     }
 }
 
 /// Ids of which a lost home may have started some that nobody has a record of.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Doubt {
-    /// The names of the members of the ring that the home was lost from; empty for any ring.
+    /// The names of the homes of the ring that the home was lost from; empty for any ring.
     pub old: Vec<Name>,
     /// The lost home; empty for any home but the taker.
     pub home: Name,
-    /// The names of the members of the ring that followed.
+    /// The names of the homes of the ring that followed.
     pub new: Vec<Name>,
     /// The home that took over the ids in doubt.
     pub taker: Name,
@@ -88,16 +103,23 @@
 }
 
 impl Ring {
+    /// Returns the members that ids are at home with: those that are not draining, or all when
+    /// there is no other.
+    pub fn homes(&self) -> impl Iterator<Item = &Member> {
+        let all = self.members.iter().all(|m| m.draining);
+        self.members.iter().filter(move |m| all || !m.draining)
+    }
+
     /// Returns the home of a submission: the member with the highest rendezvous score.
     ///
     /// The score depends on the entry's name alone, so that an entry that restarts keeps its ids.
     pub fn home(&self, id: SubmissionId) -> Option<&Member> {
-        self.members.iter().max_by_key(|m| score(&m.entry.name, id))
+        self.homes().max_by_key(|m| score(&m.entry.name, id))
     }
 
     /// Returns the member that becomes the home once `leaver` is gone.
     pub fn next_home(&self, id: SubmissionId, leaver: &EntryId) -> Option<&Member> {
-        let rest = self.members.iter().filter(|m| m.entry != *leaver);
+        let rest = self.homes().filter(|m| m.entry != *leaver);
         rest.max_by_key(|m| score(&m.entry.name, id))
     }
 
