Agent: upstreams by IP number, no thread for each call

System calls counted over 6 s: one clone3 for each of 5,370 calls, the HTTP library's resolver, which starts a thread when there is a timeout, also for an IP number. Ruled out: the loop (1.2 epoll_wait for each call). The address is now read out of the URL, which must have an IP number, as between all processes.

--- a/crates/chervilring_daemon/src/agent/announcement.rs
+++ b/crates/chervilring_daemon/src/agent/announcement.rs
@@ -9,6 +9,8 @@
 use serde_with::serde_as;
 use ureq::http::Uri;
 
+use super::call;
+
 /// The most slots of an upstream.
 const MAX_SLOTS: u32 = 1024;
 
@@ -101,13 +103,13 @@
 fn check_url(url: &str) -> Result<(), String> {
     let parsed = url.parse::<Uri>().ok();
     let good = parsed.is_some_and(|u| {
-        u.scheme_str() == Some("http") && u.host().is_some() && u.query().is_none()
+        u.scheme_str() == Some("http") && call::address(&u).is_some() && u.query().is_none()
     });
     if good {
         return Ok(());
     }
     Err(format!(
-        "url: \"{url}\" is not like http://127.0.0.1:8080 with an optional path"
+        "url: \"{url}\" is not like http://127.0.0.1:8080: an IP number, with an optional path"
     ))
 }
 
--- a/crates/chervilring_dev/tests/agent/input.rs
+++ b/crates/chervilring_dev/tests/agent/input.rs
@@ -33,6 +33,7 @@
     let cases = [
         ("{", "EOF"),
         (r#"{"url":"ftp://x","services":["a"]}"#, "url"),
+        (r#"{"url":"http://somewhere:1","services":["a"]}"#, "url"),
         (r#"{"url":"http://127.0.0.1:1","services":[]}"#, "services"),
         (
             r#"{"url":"http://127.0.0.1:1","services":["a/b"]}"#,
