--- a/crates/chervilring_core/src/dispatch/dispatcher.rs
+++ b/crates/chervilring_core/src/dispatch/dispatcher.rs
@@ -66,6 +66,8 @@
     pub(crate) cancels: FxHashMap<usize, Vec<TaskKey>>,
     /// When the tables are next looked over for what has timed out.
     pub(crate) sweep_at: Time,
+    /// Whether work could be started at the last run.
+    pub(crate) may_start: bool,
     /// When lanes without work next forget what was learnt.
     pub(crate) slow_at: Time,
     pub(crate) counters: DispatchCounters,
@@ -89,6 +91,7 @@
             steps: Vec::new(),
             cancels: FxHashMap::default(),
             sweep_at: Time::default(),
+            may_start: false,
             slow_at: Time::default(),
             counters: DispatchCounters::default(),
         }
@@ -237,7 +240,8 @@
         if now >= self.sweep_at {
             self.sweep(now);
         }
-        if authority.is_some_and(|until| now < until) {
+        self.may_start = authority.is_some_and(|until| now < until);
+        if self.may_start {
             self.start(now);
         }
         self.flush_cancels();
@@ -248,7 +252,9 @@
     pub fn wake_at(&self) -> Time {
         let deadline = self.deadlines.first().map_or(Time::NEVER, |d| d.0);
         if self.steps.is_empty() && self.cancels.is_empty() {
-            let hedge = self.hedges.first().map_or(Time::NEVER, |h| h.0);
+            // A hedge is a start: one that is due waits until starts are allowed.
+            let hedge = self.hedges.first().filter(|_| self.may_start);
+            let hedge = hedge.map_or(Time::NEVER, |h| h.0);
             deadline.min(hedge).min(self.sweep_at)
         } else {
             Time::default()
--- a/crates/chervilring_core/src/membership/source.rs
+++ b/crates/chervilring_core/src/membership/source.rs
@@ -125,15 +125,16 @@
         State::Doubtful
     }
 
-    /// Returns when a pending source is to be judged again, if nothing comes in before.
-    pub(crate) fn wake_at(&self, home: Option<&Home>) -> Time {
+    /// Returns when, after `last`, a pending source is to be judged again if nothing comes in.
+    pub(crate) fn wake_at(&self, last: Time, home: Option<&Home>) -> Time {
         if !matches!(self.state, State::Pending | State::Told) {
             return Time::NEVER;
         }
         let told = home.and_then(|h| h.whole);
-        let living = told.map_or(Time::NEVER, |(_, since)| since + HANDOVER_GRACE);
-        let lost = self.ready.map_or(Time::NEVER, |ready| ready + REPORT_GRACE);
-        living.min(lost).min(self.ready.unwrap_or(Time::NEVER))
+        let late = told.map(|(_, since)| since + HANDOVER_GRACE);
+        let overdue = self.ready.map(|ready| ready + REPORT_GRACE);
+        let times = [late, self.ready, overdue].into_iter().flatten();
+        times.filter(|at| *at > last).min().unwrap_or(Time::NEVER)
     }
 
     /// Judges ids that moved from a home that is, or was, a member of their ring as well: once it
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -128,7 +128,7 @@
         let beats = self.heard().map(|(_, p)| p.beat);
         let sources = self.sources.iter().map(|s| {
             let home = s.home.as_ref().and_then(|home| self.homes.get(home));
-            s.wake_at(home).max(self.last + Micros(1))
+            s.wake_at(self.last, home)
         });
         let renew = match self.phase {
             _ if self.calling => Time::NEVER,
@@ -433,8 +433,7 @@
     fn look_again(&self, now: Time, source: &Source) -> Time {
         let home = source.home.as_ref().and_then(|home| self.homes.get(home));
         let next = now + HEARTBEAT;
-        let wake = source.wake_at(home);
-        if wake > now { wake.min(next) } else { next }
+        source.wake_at(now, home).min(next)
     }
 }
 
--- a/crates/chervilring_core/tests/at_most_once/drive.rs
+++ b/crates/chervilring_core/tests/at_most_once/drive.rs
@@ -9,6 +9,9 @@
 
 const MS: u64 = 1_000;
 
+/// Looks at the clock in a row after which a process may ask to be run at once.
+const HASTY: u32 = 100;
+
 impl World {
     /// Hands an event to the core of a running process.
     pub(crate) fn handle(&mut self, node: Node, due: Due) {
@@ -21,7 +24,10 @@
     fn handle_entry(&mut self, n: usize, due: Due) {
         let life = self.procs[&Node::Entry(n)].life;
         match due {
-            Due::Wake(_, l) if l == life => self.with_entry(n, |_, _| {}),
+            Due::Wake(_, l) if l == life => {
+                self.with_entry(n, |_, _| {});
+                self.check_wake(n);
+            }
             Due::StoreEvent(_, l, event) if l == life => {
                 self.with_entry(n, |entry, now| entry.store(now, event));
             }
@@ -143,6 +149,22 @@
         self.wake(node, wake);
     }
 
+    /// Checks that an entry does not ask again and again to be run at once.
+    fn check_wake(&mut self, n: usize) {
+        let node = Node::Entry(n);
+        let now = self.clock(node).mono;
+        let wake = self.entries[n].as_ref().map(Entry::wake_at);
+        let hasty = wake.is_some_and(|wake| wake <= now);
+        let Some(proc) = self.procs.get_mut(&node) else {
+            return;
+        };
+        proc.hasty = if hasty { proc.hasty + 1 } else { 0 };
+        if proc.hasty > HASTY {
+            let text = format!("{node:?} never sleeps: at {now:?}, wakes {wake:?}");
+            self.callers.faults.push(text);
+        }
+    }
+
     fn entry_step(&mut self, n: usize, step: EntryStep, held: u64) {
         let node = Node::Entry(n);
         let life = self.procs[&node].life;
--- a/crates/chervilring_core/tests/at_most_once/world.rs
+++ b/crates/chervilring_core/tests/at_most_once/world.rs
@@ -78,6 +78,8 @@
     /// What comes in while it stands still.
     inbox: Vec<Due>,
     wake: u64,
+    /// Looks at the clock in a row after which it asked to be run at once.
+    pub(crate) hasty: u32,
 }
 
 impl Proc {
