--- a/crates/chervilring_core/src/config/check.rs
+++ b/crates/chervilring_core/src/config/check.rs
@@ -156,15 +156,8 @@
 }
 
 fn quota(path: &str, quota: Quota, faults: &mut Faults) {
-    number(&join(path, "rate"), quota.rate, 0..=MAX_RATE, faults);
-    number(&join(path, "burst"), quota.burst, 0..=MAX_RATE, faults);
-    if quota.rate > 0 && quota.burst == 0 {
-        faults.add(
-            join(path, "burst"),
-            "nothing could ever start",
-            "at least 1 with a rate",
-        );
-    }
+    number(&join(path, "rate"), quota.rate, 1..=MAX_RATE, faults);
+    number(&join(path, "burst"), quota.burst, 1..=MAX_RATE, faults);
 }
 
 fn number(path: &str, value: u32, range: RangeInclusive<u32>, faults: &mut Faults) {
--- a/crates/chervilring_core/tests/config.rs
+++ b/crates/chervilring_core/tests/config.rs
@@ -169,7 +169,7 @@
             "\"burst\": 10",
             "\"burst\": 0",
             "added[0].quotas.andino.burst",
-            "at least 1 with a rate",
+            "1 to 10000000",
         ),
         (
             "\"burst\": 10",
@@ -312,7 +312,7 @@
                 },
                 quotas: (0..below(4))
                     .map(|i| {
-                        let (rate, burst) = (below(10_000_000), 1 + below(10_000_000));
+                        let (rate, burst) = (1 + below(10_000_000), 1 + below(10_000_000));
                         (TeamName::from(&*format!("t{i}")), Quota { rate, burst })
                     })
                     .collect::<BTreeMap<_, _>>(),
