--- a/crates/chervilring_dev/src/platform/mod.rs
+++ b/crates/chervilring_dev/src/platform/mod.rs
@@ -5,12 +5,14 @@
 //! counted; a waiting watch counts as one.
 
 mod clock;
+mod control;
 mod counts;
 mod faults;
 mod kv;
 mod messages;
 mod server;
 mod state;
+mod stream;
 
 pub use counts::Counts;
 pub use faults::{Down, Faults};
--- a/crates/chervilring_dev/src/platform/server.rs
+++ b/crates/chervilring_dev/src/platform/server.rs
@@ -8,14 +8,15 @@
 use std::time::Duration;
 
 use chervilring_daemon::http::Kicker;
-use serde_json::{Value, json};
-use tiny_http::{Header, Method, Request, Response, Server};
+use serde_json::Value;
+use tiny_http::{Header, Request, Response, Server};
 
+use super::control::control;
 use super::counts::{CallKind, Counts};
 use super::faults::{Down, Fate, Faults};
-use super::kv::Span;
-use super::messages::{WatchRequest, event, header, parse};
+use super::messages::parse;
 use super::state::{Call, Refusal, State};
+use super::stream::stream;
 
 /// The largest request, in bytes.
 const MAX_REQUEST: u64 = 8 << 20;
@@ -28,17 +29,17 @@
 
 /// State that threads share and wait on.
 #[derive(Debug)]
-struct Shared {
+pub(super) struct Shared {
     state: Mutex<State>,
-    changed: Condvar,
+    pub(super) changed: Condvar,
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn wait<'a>(&self, guard: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+    pub(super) fn wait<'a>(&self, guard: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
         let waited = self.changed.wait_timeout(guard, WATCH_TICK);
         waited.unwrap_or_else(PoisonError::into_inner).0
     }
@@ -227,7 +228,7 @@
 }
 
 /// Counts a call, delays it, and decides what becomes of it.
-fn admit(kind: CallKind, shared: &Shared) -> Result<Fate, Refusal> {
+pub(super) fn admit(kind: CallKind, shared: &Shared) -> Result<Fate, Refusal> {
     let slow = {
         let mut state = shared.lock();
         state.counts.add(kind);
@@ -258,7 +259,7 @@
     Ok(fate)
 }
 
-fn respond(request: Request, answer: Result<Value, Refusal>) {
+pub(super) fn respond(request: Request, answer: Result<Value, Refusal>) {
     let (status, body) = match answer {
         Ok(body) => (200, body),
         Err(refusal) => (refusal.status, refusal.body()),
@@ -271,124 +272,7 @@
 }
 
 /// Answers with what cannot be understood, so that the client gives up at once.
-fn break_off(request: Request) {
+pub(super) fn break_off(request: Request) {
     let mut writer = request.into_writer();
     let _ = writer.write_all(BROKEN).and_then(|()| writer.flush());
 }
-
-/// Streams the changes that a watch asks for until its client goes away or the service fails.
-fn stream(request: Request, watch: &WatchRequest, shared: &Shared) {
-    match admit(CallKind::Watch, shared) {
-        Ok(Fate::Answer) => {}
-        Ok(Fate::Limit) => {
-            let refusal = Refusal::new(429, 8, "etcdserver: too many requests");
-            return respond(request, Err(refusal));
-        }
-        Ok(_) => return break_off(request),
-        Err(refusal) => return respond(request, Err(refusal)),
-    }
-    let span = watch.create_request.span();
-    let mut writer = request.into_writer();
-    let _ = write_stream(
-        &mut writer,
-        &span,
-        watch.create_request.start_revision.0,
-        shared,
-    );
-}
-
-fn write_stream(
-    writer: &mut dyn Write,
-    span: &Span,
-    start: u64,
-    shared: &Shared,
-) -> io::Result<()> {
-    writer.write_all(
-        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
-          Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n",
-    )?;
-    let state = shared.lock();
-    let mut next = if start == 0 {
-        state.kv.revision + 1
-    } else {
-        start
-    };
-    let created = json!({ "header": header(state.kv.revision), "created": true });
-    drop(state);
-    write_chunk(writer, &created)?;
-    let mut state = shared.lock();
-    loop {
-        if state.closed || state.fates.faults.down == Down::Refuse {
-            break;
-        }
-        let hung = state.fates.faults.down == Down::Hang || state.fates.faults.mute;
-        if !hung && next <= state.kv.compacted {
-            let compacted = state.kv.compacted.to_string();
-            let canceled = json!({ "canceled": true, "compact_revision": compacted });
-            drop(state);
-            write_chunk(writer, &canceled)?;
-            break;
-        }
-        let now = state.clock.now();
-        state.kv.expire(now);
-        let events = state.kv.events_from(span, next);
-        if hung || events.is_empty() {
-            next = if hung {
-                next
-            } else {
-                next.max(state.kv.revision + 1)
-            };
-            state = shared.wait(state);
-            continue;
-        }
-        next = next.max(state.kv.revision + 1);
-        let events: Value = events.iter().map(event).collect();
-        let message = json!({ "header": header(state.kv.revision), "events": events });
-        drop(state);
-        write_chunk(writer, &message)?;
-        state = shared.lock();
-    }
-    writer.write_all(b"0\r\n\r\n")?;
-    writer.flush()
-}
-
-/// Writes one message of a stream: a line of JSON in a chunk of its own.
-fn write_chunk(writer: &mut dyn Write, message: &Value) -> io::Result<()> {
-    let line = format!("{}\n", json!({ "result": message }));
-    write!(writer, "{:x}\r\n{line}\r\n", line.len())?;
-    writer.flush()
-}
-
-/// Answers the stand-in's own operators.
-fn control(method: &Method, path: &str, body: &[u8], shared: &Shared) -> Result<Value, Refusal> {
-    let invalid = |e: String| Refusal::new(400, 3, &e);
-    let mut state = shared.lock();
-    match (method, path) {
-        (Method::Get, "/control/counts") => Ok(json!(state.counts)),
-        (Method::Get, "/control/faults") => Ok(json!(state.fates.faults)),
-        (Method::Put, "/control/faults") => {
-            state.fates.set(parse(body).map_err(invalid)?);
-            shared.changed.notify_all();
-            Ok(json!(state.fates.faults))
-        }
-        (Method::Post, "/control/clock") => {
-            let Advance { advance_ms } = parse(body).map_err(invalid)?;
-            state.advance(Duration::from_millis(advance_ms));
-            shared.changed.notify_all();
-            Ok(json!({}))
-        }
-        (Method::Post, "/control/compact") => {
-            state.kv.compact();
-            shared.changed.notify_all();
-            Ok(json!({ "compacted": state.kv.compacted }))
-        }
-        _ => Err(Refusal::new(404, 5, "Not Found")),
-    }
-}
-
-/// Puts the clock forward.
-#[derive(Debug, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Advance {
-    advance_ms: u64,
-}
--- a/crates/chervilring_platform/src/etcd.rs
+++ b/crates/chervilring_platform/src/etcd/mod.rs
@@ -1,33 +1,32 @@
 //! The client of the published etcd v3 JSON gateway.
 
-use std::io::{self, BufRead, BufReader, Read};
+mod http;
+mod messages;
+mod watch;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use ureq::Agent;
 use ureq::http::StatusCode;
-use ureq::{Agent, Timeout};
 
+use self::http::{classify, post};
+use self::messages::{
+    Compare, DeleteRequest, GrantRequest, KeyValue, LeaseRequest, LeaseResponse, PutRequest,
+    RangeRequest, RangeResponse, RequestOp, Streamed, TxnRequest, TxnResponse, WatchCreate,
+    WatchRequest, encode,
+};
+pub use self::watch::Watch;
 use crate::error::StoreError;
 use crate::keys::prefix_end;
-use crate::messages::{
-    Compare, DeleteRequest, ErrorResponse, GrantRequest, KeyValue, LeaseRequest, LeaseResponse,
-    PutRequest, RangeRequest, RangeResponse, RequestOp, Streamed, TxnRequest, TxnResponse,
-    WatchCreate, WatchRequest, WatchResponse, encode,
-};
 use crate::settings::StoreSettings;
-use crate::store::{Change, Changes, Op, Page, Pair, Txn, TxnAnswer};
+use crate::store::{Op, Page, Pair, Txn, TxnAnswer};
 
 /// The longest answer that is read, in bytes.
 const MAX_ANSWER: u64 = 64 << 20;
 
-/// The longest message of a watch that is read, in bytes.
-const MAX_MESSAGE: u64 = 16 << 20;
-
-/// How the gateway marks the event of a deleted key.
-const DELETED: &str = "DELETE";
-
 /// Whether a call may be made twice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Repeat {
@@ -203,9 +202,7 @@
             let response = post(&self.watcher, &format!("{url}/v3/watch"), &body)?;
             Ok(response.into_body().into_reader())
         })?;
-        Ok(Watch {
-            stream: BufReader::new(Box::new(stream)),
-        })
+        Ok(Watch::new(stream))
     }
 
     fn read(&self, request: &RangeRequest) -> Result<Page, StoreError> {
@@ -256,111 +253,6 @@
     }
 }
 
-/// A watch that waits for changes.
-pub struct Watch {
-    stream: BufReader<Box<dyn Read + Send>>,
-}
-
-impl std::fmt::Debug for Watch {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Watch").finish_non_exhaustive()
-    }
-}
-
-impl Watch {
-    /// Waits for the next changes.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when what comes in is not understood; the watch is then of no use.
-    pub fn wait(&mut self) -> Result<Changes, StoreError> {
-        loop {
-            let Some(line) = self.line()? else {
-                return Ok(Changes::Ended);
-            };
-            let message: Streamed<WatchResponse> = serde_json::from_slice(&line)
-                .map_err(|e| StoreError::Invalid(format!("in a watch: {e}")))?;
-            let Some(result) = message.result else {
-                return Ok(Changes::Ended);
-            };
-            if result.compact_revision > 0 {
-                return Ok(Changes::Compacted);
-            }
-            if result.canceled {
-                return Ok(Changes::Ended);
-            }
-            if result.events.is_empty() {
-                continue;
-            }
-            let events = result.events.into_iter();
-            let changes = events.map(|e| change(e.kv, e.kind == DELETED));
-            return Ok(Changes::Some(changes.collect::<Result<_, _>>()?));
-        }
-    }
-
-    /// Reads one line; `None` when the stream ends or stays silent.
-    fn line(&mut self) -> Result<Option<Vec<u8>>, StoreError> {
-        let mut line = Vec::new();
-        let mut limited = self.stream.by_ref().take(MAX_MESSAGE);
-        match limited.read_until(b'\n', &mut line) {
-            Ok(_) if line.ends_with(b"\n") => Ok(Some(line)),
-            Ok(n) if n as u64 == MAX_MESSAGE => Err(StoreError::Invalid(
-                "a message of a watch is too long".into(),
-            )),
-            Ok(_) | Err(_) => Ok(None),
-        }
-    }
-}
-
-fn post(
-    agent: &Agent,
-    url: &str,
-    body: &[u8],
-) -> Result<ureq::http::Response<ureq::Body>, StoreError> {
-    let request = agent.post(url).content_type("application/json");
-    let response = request.send(body).map_err(|e| classify(&e))?;
-    let status = response.status();
-    if status.is_success() {
-        return Ok(response);
-    }
-    let text = response.into_body().read_to_string().unwrap_or_default();
-    let error: ErrorResponse = serde_json::from_str(&text).unwrap_or_default();
-    let message = error.message;
-    // A gateway that gave up on the store answers with a status from 500: no word on the effect.
-    if status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT {
-        let status = status.as_u16();
-        return Err(StoreError::Refused { status, message });
-    }
-    Err(StoreError::Lost(format!("status {status}: {message}")))
-}
-
-/// Tells a call that was never sent from one whose answer is missing.
-fn classify(error: &ureq::Error) -> StoreError {
-    let sent = match error {
-        ureq::Error::Io(e) => !unreachable(e.kind()),
-        ureq::Error::Timeout(phase) => !matches!(phase, Timeout::Connect | Timeout::Resolve),
-        ureq::Error::HostNotFound
-        | ureq::Error::ConnectionFailed
-        | ureq::Error::BadUri(_)
-        | ureq::Error::Http(_) => false,
-        _ => true,
-    };
-    if sent {
-        return StoreError::Lost(error.to_string());
-    }
-    StoreError::NotSent(error.to_string())
-}
-
-/// Returns whether this kind of error comes of connecting only.
-///
-/// An unreachable host or network is not among them: an established connection may end so too.
-fn unreachable(kind: io::ErrorKind) -> bool {
-    matches!(
-        kind,
-        io::ErrorKind::ConnectionRefused | io::ErrorKind::AddrNotAvailable
-    )
-}
-
 fn to_json(request: &impl Serialize) -> Result<Vec<u8>, StoreError> {
     serde_json::to_vec(request).map_err(|e| StoreError::NotSent(e.to_string()))
 }
@@ -401,12 +293,3 @@
     let malformed = || StoreError::Invalid("a key or value is not base64".into());
     kv.decode().ok_or_else(malformed)
 }
-
-fn change(kv: KeyValue, deleted: bool) -> Result<Change, StoreError> {
-    let pair = pair(kv)?;
-    Ok(Change {
-        key: pair.key,
-        value: (!deleted).then_some(pair.value),
-        revision: pair.revision,
-    })
-}
--- a/crates/chervilring_platform/src/lib.rs
+++ b/crates/chervilring_platform/src/lib.rs
@@ -1,7 +1,7 @@
 //! The platform's key-value service, and what the dispatcher keeps in it.
 //!
 //! [`Store`] speaks the protocol of one kind of service: the published JSON gateway of etcd v3. A
-//! second kind needs a `Store` with the same methods, in a file beside `etcd.rs`, and nothing else.
+//! second kind needs a `Store` with the same methods, in a module beside `etcd`, and nothing else.
 //! [`RingStore`] keeps the ring and the entries' leases; [`ConfigStore`] keeps the configuration
 //! and its audit trail. All calls block; they belong on threads of their own.
 
@@ -10,7 +10,6 @@
 mod error;
 mod etcd;
 mod keys;
-mod messages;
 mod ring;
 mod settings;
 mod store;
