--- a/crates/chervilring_core/src/agent/answer.rs
+++ b/crates/chervilring_core/src/agent/answer.rs
@@ -5,8 +5,8 @@
     Time, Verdict,
 };
 
-use super::core::{Agent, Running};
 use super::queue::Waiting;
+use super::state::{Agent, Running};
 use super::step::{AgentStep, CallEnd};
 
 /// The first HTTP status that says that the upstream failed.
--- a/crates/chervilring_core/src/agent/check.rs
+++ b/crates/chervilring_core/src/agent/check.rs
@@ -5,8 +5,8 @@
     TaskStart, Time, Verdict,
 };
 
-use super::core::{Agent, Held};
 use super::queue::Waiting;
+use super::state::{Agent, Held};
 
 /// Batches that wait for a newer ring at once.
 const MAX_HELD: usize = 64;
--- a/crates/chervilring_core/src/agent/entries.rs
+++ b/crates/chervilring_core/src/agent/entries.rs
@@ -4,8 +4,8 @@
     AgentMessage, ConfigBlob, EntryId, EntryMessage, Origin, Reason, Ring, Time,
 };
 
-use super::core::{Agent, Link};
 use super::queue::Waiting;
+use super::state::{Agent, Link};
 use super::step::AgentStep;
 use crate::config::Config;
 
--- a/crates/chervilring_core/src/agent/mod.rs
+++ b/crates/chervilring_core/src/agent/mod.rs
@@ -7,17 +7,18 @@
 
 mod answer;
 mod check;
-mod core;
 mod entries;
 mod outbox;
 mod queue;
 mod settings;
 mod started;
+mod state;
 mod status;
 mod step;
+mod systems;
 mod upstream;
 
-pub use self::core::Agent;
 pub use settings::AgentSettings;
+pub use state::Agent;
 pub use status::{AgentCounters, AgentStatus};
 pub use step::{AgentStep, CallEnd, UpstreamCall, UpstreamEvent};
