--- a/crates/chervilring_dev/tests/processes/configuration.rs
+++ b/crates/chervilring_dev/tests/processes/configuration.rs
@@ -73,3 +73,28 @@
         thread::sleep(PAUSE);
     }
 }
+
+#[test]
+fn note_is_in_force_in_time_although_no_watch_brings_it() {
+    let fixture = Fixture::start(&[1.0]);
+    let cluster = &fixture.cluster;
+    let faults = json!({ "mute": true });
+    cluster.set_faults(&cluster.platform, &faults).unwrap();
+    let added = [service("measure", true, "5s")];
+    let note = json!({ "id": "note-2", "base": 1, "added": added });
+    let revision = cluster.submit_note(&note).unwrap();
+    cluster.wait_in_force(revision, IN_FORCE).unwrap();
+}
+
+#[test]
+fn note_whose_answers_are_lost_is_accepted_once() {
+    let fixture = Fixture::start(&[1.0]);
+    let cluster = &fixture.cluster;
+    let faults = json!({ "lose_next": 1 });
+    cluster.set_faults(&cluster.platform, &faults).unwrap();
+    let added = [service("measure", true, "5s")];
+    let note = json!({ "id": "note-2", "base": 1, "added": added });
+    assert_eq!(cluster.submit_note(&note).unwrap(), Revision(2));
+    assert_eq!(cluster.submit_note(&note).unwrap(), Revision(2));
+    cluster.wait_in_force(Revision(2), IN_FORCE).unwrap();
+}
