--- a/crates/chervilring_dev/src/demo/killing.rs
+++ b/crates/chervilring_dev/src/demo/killing.rs
@@ -133,6 +133,14 @@
     };
     let starts = cluster.starts()?.of(id);
     let took = seconds(start.elapsed());
+    if response.is_success() {
+        ensure!(
+            starts == TASKS as u64,
+            "job {id} answered after {starts} starts"
+        );
+    } else if response.verdict == Some(Verdict::NotRun) {
+        ensure!(starts == 0, "job {id} was not run, after {starts} starts");
+    }
     let got = describe(&Ok(response));
     print(&format!(
         "  {id} again at e{}: {got} after {took}, {starts} starts",
