--- a/crates/chervilring_dev/examples/agent_overhead.rs
+++ b/crates/chervilring_dev/examples/agent_overhead.rs
@@ -13,7 +13,8 @@
 use chervilring_dev::upstream::{Upstream, UpstreamSettings};
 use chervilring_wire::codec::write_datagram;
 use chervilring_wire::{
-    AgentId, AgentState, Announce, Datagram, Incarnation, Load, Micros, Revision, RingVersion,
+    AgentId, AgentState, Announce, Datagram, EntryId, EntryMessage, Incarnation, Load, Member,
+    Micros, OldRing, Revision, RingVersion,
 };
 use eyre::{WrapErr, ensure};
 use fake_entry::FakeEntry;
@@ -59,7 +60,40 @@
         let (direct, through) = (direct.value_at_quantile(q), through.value_at_quantile(q));
         println!("{name}: upstream called directly {direct} us, through the agent {through} us");
     }
-    starts(&agent, &mut entry)
+    starts(&agent, &mut entry)?;
+    adoption(&mut entry);
+    Ok(())
+}
+
+/// Shows how long a start takes that comes behind a ring, with the table of starts filled.
+fn adoption(entry: &mut FakeEntry) {
+    let members = ["e2", "e3"].map(|name| Member {
+        entry: EntryId {
+            name: name.into(),
+            incarnation: Incarnation(1),
+        },
+        domain: "norte".into(),
+        addr: ([127, 0, 0, 1], 9).into(),
+        draining: false,
+    });
+    for version in 2..=4 {
+        let old = OldRing::from(&entry.ring);
+        entry.ring.version = RingVersion(version);
+        entry
+            .ring
+            .members
+            .extend(members.get(version as usize - 2).cloned());
+        entry.ring.older.push(old);
+        let start = Instant::now();
+        entry.send(&EntryMessage::Ring(entry.ring.clone()));
+        let key = entry.start((1 << 65) + u128::from(version), "{}", Micros::from_secs(20));
+        entry.answer(key);
+        let count = entry.ring.members.len();
+        println!(
+            "a start behind a ring of {count}: {} us",
+            start.elapsed().as_micros()
+        );
+    }
 }
 
 /// Shows what the agent takes while nothing is asked of it.
--- a/crates/chervilring_dev/tests/agent/fake_entry.rs
+++ b/crates/chervilring_dev/tests/agent/fake_entry.rs
@@ -25,6 +25,8 @@
     listener: TcpListener,
     socket: UdpSocket,
     link: Option<TcpStream>,
+    /// The ring that it tells the agent.
+    pub(crate) ring: Ring,
     input: Vec<u8>,
     /// The answers that have come, by attempt.
     pub(crate) answers: BTreeMap<TaskKey, TaskAnswer>,
@@ -47,6 +49,7 @@
             listener,
             socket,
             link: None,
+            ring: Ring::default(),
             input: Vec::new(),
             answers: BTreeMap::new(),
             confirms: true,
@@ -85,6 +88,7 @@
             members: vec![member],
             ..Ring::default()
         };
+        self.ring = ring.clone();
         self.send(&EntryMessage::Ring(ring));
         agent
     }
