Stand-in of upstreams: answers sent at once

Eight answers of 5 KB took 42.9 to 51.7 ms each and of 50 KB 47.7 to 52.3 ms: they waited for the acknowledgement of their first segment, which counted as run time of the upstream in every measurement.

--- a/crates/chervilring_dev/src/lib.rs
+++ b/crates/chervilring_dev/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod demo;
 pub mod latency;
+mod listener;
 pub mod measure;
 pub mod platform;
 pub mod process;
--- a/crates/chervilring_dev/src/platform/server.rs
+++ b/crates/chervilring_dev/src/platform/server.rs
@@ -1,8 +1,7 @@
 //! The HTTP side: a thread for each call, as `tiny_http` answers from any thread.
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
+use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -17,6 +16,7 @@
 use super::messages::parse;
 use super::state::{Call, Refusal, State};
 use super::stream::stream;
+use crate::listener::bind;
 
 /// The largest request, in bytes.
 const MAX_REQUEST: u64 = 8 << 20;
@@ -151,17 +151,6 @@
     }
 }
 
-/// Listens so that answers are sent at once.
-///
-/// The connections inherit this from the listener. Without it an answer of more than one segment
-/// waits some 40 ms for the acknowledgement of its first.
-fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
-    let listener = TcpListener::bind(listen)?;
-    let socket = TcpStream::from(OwnedFd::from(listener));
-    socket.set_nodelay(true)?;
-    Ok(TcpListener::from(OwnedFd::from(socket)))
-}
-
 fn accept(server: &Server, shared: &Arc<Shared>, kicker: &Kicker) {
     while let Ok(request) = server.recv() {
         if let Some(addr) = request.remote_addr() {
--- a/crates/chervilring_dev/src/upstream/mod.rs
+++ b/crates/chervilring_dev/src/upstream/mod.rs
@@ -30,6 +30,8 @@
 use gate::Gate;
 use server::Shared;
 
+use crate::listener::bind;
+
 /// How often the announcing thread looks for what it is told.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -51,11 +53,9 @@
     /// Returns an error when its address cannot be listened on.
     pub fn start(settings: &UpstreamSettings) -> eyre::Result<Self> {
         let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let server = Server::http(inner).map_err(|e| eyre!("{e}"))?;
-        let inner = server
-            .server_addr()
-            .to_ip()
-            .ok_or_else(|| eyre!("no port"))?;
+        let listener = bind(inner)?;
+        let inner = listener.local_addr()?;
+        let server = Server::from_listener(listener, None).map_err(|e| eyre!("{e}"))?;
         let gate = Gate::start(settings.addr, inner)
             .wrap_err_with(|| format!("cannot listen on {}", settings.addr))?;
         let shared = Arc::new(Shared {
