--- a/crates/chervilring_core/src/dispatch/starts.rs
+++ b/crates/chervilring_core/src/dispatch/starts.rs
@@ -10,7 +10,7 @@
 /// The share of its expected span that a task may have left until its deadline.
 const LEAST_SHARE: f64 = 0.2;
 
-/// Submissions that a slow upstream's task may pass over.
+/// Submissions that a slow upstream's task, or a trial, may pass over.
 const PASSED_OVER: usize = 64;
 
 impl Dispatcher {
@@ -97,13 +97,9 @@
             if !state.health.wants_trial(now) || !agent.usable() || !free {
                 continue;
             }
-            let Some(index) = row.queue.front() else {
+            let Some(index) = self.first_repeatable(service) else {
                 return;
             };
-            let front = self.submissions.get(index);
-            if !front.is_some_and(Self::repeatable) {
-                return;
-            }
             let pool = &mut self.services[service].pool;
             pool.lanes[lane].health.begin_trial();
             if let Some((agent, start)) = self.start_one(now, index, lane) {
@@ -112,6 +108,12 @@
         }
     }
 
+    /// Returns the first request in the queue that may run again.
+    fn first_repeatable(&self, service: usize) -> Option<usize> {
+        let mut first = self.services[service].queue.iter().take(PASSED_OVER);
+        first.find(|&index| self.submissions.get(index).is_some_and(Self::repeatable))
+    }
+
     /// Returns the submission that has the task behind the first `skip` ones of the queue.
     fn skip(&self, service: usize, skip: usize) -> Option<usize> {
         let mut left = skip;
--- a/crates/chervilring_dev/src/replay/measure.rs
+++ b/crates/chervilring_dev/src/replay/measure.rs
@@ -165,6 +165,11 @@
 }
 
 impl Played {
+    /// Returns what must not have happened.
+    pub fn violations(&self) -> &[String] {
+        &self.tally.violations
+    }
+
     /// Works out the figures.
     pub fn summary(&self, trace: &Trace, policy: &str) -> Summary {
         let oracle = oracle::schedule(trace);
