Membership: what is pending at a home is in doubt where it moves on to

The report under the ring with the returned entry leaves its ids out for the home in between, which took its former home for accounted for and told the returned entry so. Pending former homes are now told to an entry that joins as doubts. An id learnt from its home is no longer sent back to it.

--- a/crates/chervilring_core/src/membership/adopt.rs
+++ b/crates/chervilring_core/src/membership/adopt.rs
@@ -143,8 +143,15 @@
         for doubt in &self.doubts {
             peer.doubts.push(doubt.clone());
         }
-        for source in self.sources.iter().filter(|s| s.state.is_doubtful()) {
-            let until = self.stamp(source.ready.unwrap_or(now));
+        // Reports under this ring leave out what has moved on to the new peer: what is pending
+        // here is in doubt there. Entries join settled rings only, so all former homes have
+        // stopped by now.
+        for source in &self.sources {
+            let until = match source.state {
+                State::Pending if !source.living => self.stamp(now),
+                state if state.is_doubtful() => self.stamp(source.ready.unwrap_or(now)),
+                _ => continue,
+            };
             peer.doubts.push(source.doubt(&self.own.name, until));
         }
         peer
--- a/crates/chervilring_core/src/membership/beat.rs
+++ b/crates/chervilring_core/src/membership/beat.rs
@@ -43,7 +43,7 @@
         self.settle.adopted(from, beat.ring.version);
         if self.homes.heartbeat(now.mono, from, beat) {
             for id in &beat.started {
-                self.learn(*id);
+                self.learn(Some(from), *id);
             }
             for doubt in &beat.doubts {
                 self.add_doubt(doubt);
@@ -138,7 +138,7 @@
     ) {
         self.observe(now);
         for id in started {
-            self.learn(*id);
+            self.learn(None, *id);
         }
         if whole {
             let known = self.reports.entry(agent.clone()).or_default();
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -231,7 +231,7 @@
 
     /// Notes that the entry has taken an id on: from now on it may be started.
     pub fn record_started(&mut self, id: SubmissionId) {
-        self.learn(id);
+        self.learn(None, id);
     }
 
     /// Takes in ids that a living home hands over.
@@ -240,7 +240,7 @@
         for (id, _, reply) in &handover.ended {
             let not_run = matches!(reply, Reply::Failed(f) if f.verdict == Verdict::NotRun);
             if !not_run {
-                self.learn(*id);
+                self.learn(Some(from), *id);
             }
         }
         if !handover.more {
@@ -403,8 +403,8 @@
     }
 
     /// Adds an id to those known to be started and tells the entry that has to know it: its home,
-    /// or its next home if it is at home here.
-    pub(crate) fn learn(&mut self, id: SubmissionId) {
+    /// or its next home if it is at home here. The entry that it was learnt from knows already.
+    pub(crate) fn learn(&mut self, from: Option<&EntryId>, id: SubmissionId) {
         if !self.known.insert(id) {
             return;
         }
@@ -416,6 +416,7 @@
         } else {
             Some(home)
         };
+        let told = told.filter(|member| from != Some(&member.entry));
         if let Some(peer) = told.and_then(|member| self.peers.get_mut(&member.entry)) {
             peer.ids.push(id);
         }
