Agents get what of a configuration concerns them, and long-lost agents are gone

Cause, first: entries sent the whole document to each agent, of which it keeps the slot limits of its own services. Now an agent gets the revision and those limits: 2 bytes and some 10 a limited service, whatever the document's size; nothing is parsed there. One whose link has been down for 60 s counts as gone.

--- a/crates/chervilring_core/src/agent/entries.rs
+++ b/crates/chervilring_core/src/agent/entries.rs
@@ -1,13 +1,12 @@
 //! The links to entries, and the ring that says which of them is whose home.
 
 use chervilring_wire::{
-    AgentMessage, ConfigBlob, EntryId, EntryMessage, Origin, Reason, Ring, Time,
+    AgentConfig, AgentMessage, EntryId, EntryMessage, Origin, Reason, Ring, Time,
 };
 
 use super::queue::Waiting;
 use super::state::{Agent, Link};
 use super::step::AgentStep;
-use crate::config::Config;
 
 impl Agent {
     /// Takes in that the link to an entry is up.
@@ -58,7 +57,7 @@
             EntryMessage::Start(batch) => self.start(now, from, batch),
             EntryMessage::Cancel(keys) => self.cancel(now, from, &keys),
             EntryMessage::Ring(ring) => self.adopt(now, ring),
-            EntryMessage::Config(blob) => self.configure(&blob),
+            EntryMessage::Config(config) => self.configure(config),
             EntryMessage::Received(keys) => {
                 for key in keys {
                     self.outbox.confirm(from, key);
@@ -186,20 +185,16 @@
         });
     }
 
-    /// Puts a newer configuration in force: of it, an agent keeps the slots that a service may
-    /// take, which no entry alone can count.
-    fn configure(&mut self, blob: &ConfigBlob) {
-        if blob.revision <= self.revision {
+    /// Puts a configuration in force, unless it is older than the one in force. Of it, an agent
+    /// keeps the slots that a service may take, which no entry alone can count.
+    fn configure(&mut self, config: AgentConfig) {
+        if config.revision < self.revision {
             return;
         }
-        let Ok(config) = Config::from_json(&blob.document) else {
-            self.counters.bad_configs += 1;
-            return;
-        };
-        let services = config.services.values();
-        let caps = services.filter_map(|s| Some((s.name.clone(), s.limits.slots?)));
-        self.caps = caps.collect();
-        self.revision = blob.revision;
-        self.announce_now = true;
+        self.caps = config.caps.into_iter().collect();
+        if config.revision > self.revision {
+            self.revision = config.revision;
+            self.announce_now = true;
+        }
     }
 }
--- a/crates/chervilring_core/src/entry/agents.rs
+++ b/crates/chervilring_core/src/entry/agents.rs
@@ -1,17 +1,24 @@
 //! Links to the agents.
 
+use std::collections::BTreeSet;
+
 use chervilring_wire::{
-    AgentId, AgentMessage, Announce, AnnounceAck, EntryMessage, Now, Revision, Ring, RingVersion,
-    StartBatch, TaskAnswer, TaskKey, TaskStart,
+    AgentConfig, AgentId, AgentMessage, Announce, AnnounceAck, EntryMessage, Micros, Now, Revision,
+    Ring, RingVersion, ServiceName, StartBatch, TaskAnswer, TaskKey, TaskStart, Time,
 };
 use rustc_hash::FxHashMap;
 
 use super::{Change, Entry, EntryStep};
 
+/// How long an agent's link may be down before the agent counts as gone.
+const GONE: Micros = Micros::from_secs(60);
+
 /// The agents whose link is up.
 #[derive(Debug, Default)]
 pub(super) struct AgentTable {
     table: FxHashMap<AgentId, Agent>,
+    /// Agents whose link is down, and when they count as gone.
+    down: BTreeSet<(Time, AgentId)>,
 }
 
 #[derive(Debug, Default)]
@@ -20,6 +27,8 @@
     revision: Revision,
     /// The newest configuration that was sent to it.
     sent: Revision,
+    /// The services of its upstream.
+    services: Vec<ServiceName>,
 }
 
 impl AgentTable {
@@ -35,7 +44,9 @@
         self.dispatcher.announce(now.mono, announce);
         if let Some(agent) = self.agents.table.get_mut(&announce.agent) {
             agent.revision = announce.revision;
-            if announce.revision.max(agent.sent) < self.config.revision {
+            let known = agent.services == announce.services;
+            if !known || announce.revision.max(agent.sent) < self.config.revision {
+                agent.services.clone_from(&announce.services);
                 self.send_agent_config(&announce.agent);
             }
         }
@@ -49,9 +60,9 @@
     /// Takes in that the link to an agent is up.
     pub fn agent_up(&mut self, now: Now, agent: &AgentId) {
         self.agents.table.insert(agent.clone(), Agent::default());
+        self.agents.down.retain(|(_, down)| down != agent);
         let ring = EntryMessage::Ring(self.ring().clone());
         self.send_agent(agent, ring);
-        self.send_agent_config(agent);
         self.membership.agent_up(now, agent);
         self.dispatcher.connect(now.mono, agent);
         if self.membership.may_use(agent) {
@@ -66,6 +77,7 @@
         if self.agents.table.remove(agent).is_none() {
             return;
         }
+        self.agents.down.insert((now.mono + GONE, agent.clone()));
         self.dispatcher.disconnect(now.mono, agent);
         let change = Change::AgentDown(agent.clone());
         self.steps.push(EntryStep::Change(change));
@@ -124,14 +136,36 @@
         }
     }
 
+    /// Sends an agent what of the configuration concerns it, once it has announced its services.
     fn send_agent_config(&mut self, to: &AgentId) {
-        let Some(blob) = self.revisions.blob() else {
+        let Some(agent) = self.agents.table.get_mut(to) else {
             return;
         };
-        if let Some(agent) = self.agents.table.get_mut(to) {
-            agent.sent = blob.revision;
+        if agent.services.is_empty() || !self.revisions.is_loaded() {
+            return;
+        }
+        agent.sent = self.config.revision;
+        let limit = |name: &ServiceName| self.config.services.get(name)?.limits.slots;
+        let services = agent.services.iter();
+        let caps = services.filter_map(|name| Some((name.clone(), limit(name)?)));
+        let config = AgentConfig {
+            revision: self.config.revision,
+            caps: caps.collect(),
+        };
+        self.send_agent(to, EntryMessage::Config(config));
+    }
+
+    /// Tells the membership of agents whose link has been down for long: they are not used again,
+    /// and a later home need not wait for their reports.
+    pub(super) fn forget_agents(&mut self, now: Now) {
+        while let Some((due, _)) = self.agents.down.first() {
+            if *due > now.mono {
+                break;
+            }
+            if let Some((_, agent)) = self.agents.down.pop_first() {
+                self.membership.agent_gone(now, &agent);
+            }
         }
-        self.send_agent(to, EntryMessage::Config(blob));
     }
 
     fn send_agent(&mut self, to: &AgentId, message: EntryMessage) {
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -214,6 +214,7 @@
         }
         self.housekeeping = Time(now.mono.0 + HOUSEKEEPING);
         self.ids.forget_expired(now);
+        self.forget_agents(now);
         self.membership.set_demand(self.dispatcher.demand(now.mono));
         self.membership.set_revision(self.config.revision);
     }
--- a/crates/chervilring_core/tests/agent/focused.rs
+++ b/crates/chervilring_core/tests/agent/focused.rs
@@ -2,7 +2,7 @@
 
 use chervilring_core::agent::{AgentStep, CallEnd};
 use chervilring_wire::{
-    AgentMessage, ConfigBlob, EntryMessage, Micros, Reason, Revision, RingVersion, TaskOutcome,
+    AgentConfig, AgentMessage, EntryMessage, Micros, Reason, Revision, RingVersion, TaskOutcome,
     Verdict,
 };
 
@@ -415,16 +415,14 @@
 fn a_service_takes_no_more_slots_than_its_limits_say() {
     let mut world = World::new();
     world.announce(4);
-    let document = br#"{"revision":1,"note":"n","services":[{"name":"parts",
-        "limits":{"slots":1},"rules":{"idempotent":true,"deadline":"5s"}}]}"#;
-    let blob = ConfigBlob {
+    let config = AgentConfig {
         revision: Revision(1),
-        document: document.to_vec().into(),
+        caps: vec![("parts".into(), 1)],
     };
     let from = world.entries[0].clone();
     world
         .agent
-        .entry_message(world.now, &from, EntryMessage::Config(blob));
+        .entry_message(world.now, &from, EntryMessage::Config(config));
     assert_eq!(world.agent.status().revision, Revision(1));
     let now = world.now;
     for index in 0..2 {
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -16,8 +16,8 @@
     SubmissionId, TaskIndex, TaskKey, TeamName, Ticket,
 };
 pub use message::{
-    AgentMessage, AgentState, Announce, AnnounceAck, ConfigBlob, Datagram, EntryMessage, Handover,
-    Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
+    AgentConfig, AgentMessage, AgentState, Announce, AnnounceAck, ConfigBlob, Datagram,
+    EntryMessage, Handover, Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
 };
 pub use ring::{Doubt, Member, OldRing, Ring, home_name};
 pub use submission::{
--- a/crates/chervilring_wire/src/message.rs
+++ b/crates/chervilring_wire/src/message.rs
@@ -135,6 +135,15 @@
     pub document: Bytes,
 }
 
+/// What of a configuration concerns one agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentConfig {
+    /// The revision.
+    pub revision: Revision,
+    /// Tasks at once, for those services of its upstream that have such a limit.
+    pub caps: Vec<(ServiceName, u32)>,
+}
+
 /// From an entry to an agent, over TCP.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryMessage {
@@ -144,8 +153,8 @@
     Cancel(Vec<TaskKey>),
     /// Tells of a newer ring.
     Ring(Ring),
-    /// Tells of a newer configuration.
-    Config(ConfigBlob),
+    /// Tells of a newer configuration, or of one that concerns more services of its upstream.
+    Config(AgentConfig),
     /// Confirms that these answers have come in: the agent may drop them.
     Received(Vec<TaskKey>),
 }
