Process test: the agent that boots while the store is down has an upstream

Since entries send an agent only what concerns it, one whose upstream has not announced itself has no revision ("the new agent has the revision: not within 7s"). With its upstream, which is what takes work, it has it in time as before.

--- a/crates/chervilring_dev/tests/processes/configuration.rs
+++ b/crates/chervilring_dev/tests/processes/configuration.rs
@@ -39,6 +39,7 @@
 fn boot_with_store_down(fixture: &Fixture, revision: Revision) -> eyre::Result<()> {
     let cluster = &fixture.cluster;
     let agent = cluster.agent_program(2).start()?;
+    let _upstream = cluster.upstream_program(0, &agent).start()?;
     let has_it = |process: &Process| (cluster.revision(process) == Some(revision.0)).then_some(());
     wait_for("the new agent has the revision", IN_FORCE, || {
         has_it(&agent)
