Agent: an answer to an announcement brings forward one announcement, not a storm

While its answers carried the load, an agent with an older ring than the entries' announced itself again at each answer to an announcement, to all entries, each of which answered: a run of the property test ended in ever more of these datagrams (found by its profile; no seed at hand, as the schedules moved with other changes). The property test now fails on a storm of messages.

--- a/crates/chervilring_core/src/agent/state.rs
+++ b/crates/chervilring_core/src/agent/state.rs
@@ -127,7 +127,8 @@
     /// entry that it has not come.
     pub fn ack(&mut self, now: Time, ack: &AnnounceAck) {
         self.expire(now);
-        if ack.ring > self.ring.version && self.quiet {
+        // Once in each quiet turn: else announcements and answers would beget each other.
+        if ack.ring > self.ring.version && std::mem::take(&mut self.quiet) {
             self.announce_now = true;
         }
     }
--- a/crates/chervilring_core/tests/at_most_once/world.rs
+++ b/crates/chervilring_core/tests/at_most_once/world.rs
@@ -27,6 +27,9 @@
 
 const MS: u64 = 1_000;
 
+/// More events than any schedule without a storm of messages has.
+const STORM: u64 = 300_000;
+
 /// Something that is due.
 pub(crate) enum Due {
     Op(Op),
@@ -171,6 +174,9 @@
             }
             self.now = at;
             self.happen(due);
+            if self.count > STORM {
+                self.callers.faults.push("a storm of messages".into());
+            }
         }
         self.callers.finish();
     }
--- a/crates/chervilring_core/tests/membership.rs
+++ b/crates/chervilring_core/tests/membership.rs
@@ -204,7 +204,7 @@
         membership.peer_down(at(2), &member(name).entry);
     }
     renewed(&mut membership, 10_000, &next, &own);
-    let moved = (0..).map(unstamped).find(|id| {
+    let moved = (0..1_000).map(unstamped).find(|id| {
         let home = old.home(*id).expect("a home");
         &*home.entry.name != "a"
     });
