Operators declare lost entries dead; submissions wait out a link that just went down

First: where most entries die at once, those left cannot block the old ring and refuse the lost ids for good, as they must. declare-dead has a survivor count an entry as stopped, on an operator's word; clear-doubts ends the doubt about ids without a stamp.

--- a/crates/chervilring/src/args.rs
+++ b/crates/chervilring/src/args.rs
@@ -4,7 +4,9 @@
 
 use argh::FromArgs;
 
-use crate::commands::{agent, audit, entry, job, note, request, status};
+use crate::commands::{
+    agent, audit, clear_doubts, declare_dead, entry, job, note, request, status,
+};
 
 /// Dispatcher for sub-second tasks: daemons, and commands for operators and callers.
 #[derive(Debug, FromArgs)]
@@ -42,6 +44,10 @@
     Audit(audit::AuditCommand),
     /// Shows the status of entries.
     Status(status::StatusCommand),
+    /// Clears doubts about ids of lost entries.
+    ClearDoubts(clear_doubts::ClearDoubtsCommand),
+    /// Declares a lost entry dead.
+    DeclareDead(declare_dead::DeclareDeadCommand),
 }
 
 /// Why there are no arguments to run with.
--- a/crates/chervilring/src/commands/mod.rs
+++ b/crates/chervilring/src/commands/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod agent;
 pub mod audit;
+pub mod clear_doubts;
+pub mod declare_dead;
 pub mod entry;
 mod in_force;
 mod input;
@@ -25,5 +27,7 @@
         Command::Note(command) => note::run(&command),
         Command::Audit(command) => audit::run(&command),
         Command::Status(command) => status::run(&command),
+        Command::ClearDoubts(command) => clear_doubts::run(&command),
+        Command::DeclareDead(command) => declare_dead::run(&command),
     }
 }
--- a/crates/chervilring_core/src/entry/agents.rs
+++ b/crates/chervilring_core/src/entry/agents.rs
@@ -63,6 +63,7 @@
         self.agents.down.retain(|(_, down)| down != agent);
         let ring = EntryMessage::Ring(self.ring().clone());
         self.send_agent(agent, ring);
+        self.send_agent_config(agent);
         self.membership.agent_up(now, agent);
         self.dispatcher.connect(now.mono, agent);
         if self.membership.may_use(agent) {
@@ -136,12 +137,12 @@
         }
     }
 
-    /// Sends an agent what of the configuration concerns it, once it has announced its services.
+    /// Sends an agent what of the configuration concerns it, as far as its services are known.
     fn send_agent_config(&mut self, to: &AgentId) {
         let Some(agent) = self.agents.table.get_mut(to) else {
             return;
         };
-        if agent.services.is_empty() || !self.revisions.is_loaded() {
+        if !self.revisions.is_loaded() {
             return;
         }
         agent.sent = self.config.revision;
--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -73,6 +73,9 @@
             Place::At(home) if self.peers.is_up(&home.entry) => {
                 self.forward(now, caller, home.entry, submission);
             }
+            Place::At(home) if self.peers.is_awaited(now.mono, &home.entry) => {
+                self.hold(now, caller, submission, now.mono + REROUTE);
+            }
             Place::At(_) | Place::Nowhere => {
                 // Only the home can say that an id was not used before.
                 let refusal = failure(Verdict::MayHaveRun, Reason::Unavailable, Some(SOON));
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 
 use chervilring_wire::{
-    EntryId, Failure, Micros, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
+    EntryId, Failure, Micros, Name, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
 };
 
 use crate::config::Config;
@@ -137,6 +137,23 @@
         self.membership.store(now, event);
     }
 
+    /// Takes an operator's word that another entry is dead and will not come back. Returns whether
+    /// there is such an entry whose link is down; one whose link is up is not dead.
+    pub fn declare_dead(&mut self, now: Now, name: &Name) -> bool {
+        let declared = self.membership.declare_dead(now, name);
+        if declared {
+            let change = Change::DeclaredDead(name.clone());
+            self.steps.push(EntryStep::Change(change));
+        }
+        declared
+    }
+
+    /// Takes an operator's word that no id of before will be submitted again.
+    pub fn clear_doubts(&mut self, now: Now) {
+        self.membership.clear_doubts(now);
+        self.steps.push(EntryStep::Change(Change::DoubtsCleared));
+    }
+
     /// Begins a planned stop: nothing new is taken, what runs is finished, ids are handed over.
     pub fn leave(&mut self, now: Now) {
         if !self.stopping {
@@ -246,6 +263,7 @@
         self.steps
             .push(EntryStep::Change(Change::Ring(ring.version)));
         self.push_ring(ring);
+        self.peers.await_new(now.mono, ring);
         self.forwards.leave_ring(ring, now.mono + LAST_REPLIES);
     }
 
--- a/crates/chervilring_core/src/entry/peers.rs
+++ b/crates/chervilring_core/src/entry/peers.rs
@@ -1,14 +1,20 @@
 //! Links to the other entries.
 
-use chervilring_wire::{EntryId, Now, PeerMessage, Revision};
+use chervilring_wire::{EntryId, Micros, Now, PeerMessage, Revision, Ring, Time};
 use rustc_hash::FxHashMap;
 
 use super::{Change, Entry, EntryStep};
 
+/// How long submissions are held for an entry whose link has just gone down or is not up yet: a
+/// ring without it, or the link, is likely to come.
+const PATIENCE: Micros = Micros::from_millis(500);
+
 /// The other entries whose link is up.
 #[derive(Debug, Default)]
 pub(super) struct PeerTable {
     table: FxHashMap<EntryId, Peer>,
+    /// Until when submissions are held for entries whose link is not up.
+    awaited: FxHashMap<EntryId, Time>,
 }
 
 #[derive(Debug, Default)]
@@ -24,6 +30,22 @@
         self.table.contains_key(peer)
     }
 
+    /// Has submissions held for a while for the members whose link is not up yet.
+    pub(super) fn await_new(&mut self, now: Time, ring: &Ring) {
+        self.awaited.retain(|_, until| *until > now);
+        for member in &ring.members {
+            if !self.table.contains_key(&member.entry) {
+                let until = now + PATIENCE;
+                self.awaited.entry(member.entry.clone()).or_insert(until);
+            }
+        }
+    }
+
+    /// Returns whether submissions are held for an entry whose link is not up.
+    pub(super) fn is_awaited(&self, now: Time, peer: &EntryId) -> bool {
+        self.awaited.get(peer).is_some_and(|until| *until > now)
+    }
+
     /// Returns each peer with the configuration it has in force.
     pub(super) fn revisions(&self) -> impl Iterator<Item = (&EntryId, Revision)> {
         self.table.iter().map(|(id, peer)| (id, peer.revision))
@@ -44,6 +66,8 @@
         if self.peers.table.remove(peer).is_none() {
             return;
         }
+        let until = now.mono + PATIENCE;
+        self.peers.awaited.insert(peer.clone(), until);
         self.membership.peer_down(now, peer);
         let change = Change::PeerDown(peer.clone());
         self.steps.push(EntryStep::Change(change));
--- a/crates/chervilring_core/src/entry/step.rs
+++ b/crates/chervilring_core/src/entry/step.rs
@@ -1,7 +1,7 @@
 //! What an entry asks its daemon to carry out.
 
 use chervilring_wire::{
-    AgentId, EntryId, EntryMessage, PeerMessage, Reply, Revision, RingVersion, Ticket,
+    AgentId, EntryId, EntryMessage, Name, PeerMessage, Reply, Revision, RingVersion, Ticket,
 };
 
 use crate::membership::StoreCall;
@@ -57,6 +57,10 @@
     PeerUp(EntryId),
     /// Another entry's link is down.
     PeerDown(EntryId),
+    /// An operator declared another entry dead.
+    DeclaredDead(Name),
+    /// An operator cleared the doubts about ids of lost homes.
+    DoubtsCleared,
     /// A planned stop has begun.
     Stopping,
     /// A planned stop is done.
--- a/crates/chervilring_core/src/membership/state.rs
+++ b/crates/chervilring_core/src/membership/state.rs
@@ -260,8 +260,9 @@
     }
 
     /// Takes an operator's word that an entry of the ring is dead and will not come back: it is
-    /// evicted, and counted as one that confirms no ring any more.
-    pub fn declare_dead(&mut self, now: Now, name: &Name) {
+    /// evicted, and counted as one that confirms no ring any more. Returns whether there is such an
+    /// entry whose link is down.
+    pub fn declare_dead(&mut self, now: Now, name: &Name) -> bool {
         self.observe(now);
         let older = self.ring.older.iter().flat_map(|old| old.members.iter());
         let all = older.chain(self.ring.members.iter().map(|m| &m.entry));
@@ -274,6 +275,7 @@
         }
         self.renew = now.mono;
         self.judge(now.mono);
+        !dead.is_empty()
     }
 
     /// Takes an operator's word that no id of before will be submitted again: ids in doubt count
--- a/crates/chervilring_daemon/src/entry/daemon.rs
+++ b/crates/chervilring_daemon/src/entry/daemon.rs
@@ -117,6 +117,15 @@
                 self.entry.query(now, ticket, id, query);
             }
             Event::Caller(CallerEvent::Status { ticket }) => self.status(ticket),
+            Event::Caller(CallerEvent::DeclareDead { ticket, name }) => {
+                let declared = self.entry.declare_dead(now, &name);
+                let answer = serde_json::json!({ "member": name, "declared": declared });
+                self.api.status(ticket, answer);
+            }
+            Event::Caller(CallerEvent::ClearDoubts { ticket }) => {
+                self.entry.clear_doubts(now);
+                self.status(ticket);
+            }
             Event::Store(event) => self.entry.store(now, event),
             Event::Config(blob) => self.entry.configure(now, blob),
             Event::Stop => self.begin_stop(),
@@ -314,6 +323,10 @@
             Change::AgentDown(agent) => info!(self.log, "agent down"; "agent" => %agent),
             Change::PeerUp(peer) => info!(self.log, "entry up"; "entry" => %peer),
             Change::PeerDown(peer) => info!(self.log, "entry down"; "entry" => %peer),
+            Change::DeclaredDead(name) => {
+                warn!(self.log, "entry declared dead by an operator"; "entry" => %name);
+            }
+            Change::DoubtsCleared => warn!(self.log, "doubts cleared by an operator"),
             Change::Stopping => info!(self.log, "stopping"),
             Change::Left => info!(self.log, "left the ring"),
             Change::Evicted => warn!(self.log, "evicted from the ring"),
--- a/crates/chervilring_daemon/src/http/api.rs
+++ b/crates/chervilring_daemon/src/http/api.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use chervilring_wire::{Micros, Query, Reply, Submission, SubmissionId, Ticket};
+use chervilring_wire::{Micros, Name, Query, Reply, Submission, SubmissionId, Ticket};
 use rustc_hash::FxHashMap;
 use slog::Logger;
 
@@ -55,6 +55,18 @@
         /// What the reply names.
         ticket: Ticket,
     },
+    /// Clears the doubts about ids of lost homes; answered by [`CallerApi::status`].
+    ClearDoubts {
+        /// What the reply names.
+        ticket: Ticket,
+    },
+    /// Declares another entry dead; answered by [`CallerApi::status`].
+    DeclareDead {
+        /// What the reply names.
+        ticket: Ticket,
+        /// The other entry.
+        name: Name,
+    },
 }
 
 /// Settings of the callers' interface.
@@ -210,6 +222,13 @@
                 self.query(call, layout, id, Query::Cancel);
             }
             Route::Status => self.ask(call, None, |ticket| CallerEvent::Status { ticket }),
+            Route::ClearDoubts => {
+                self.ask(call, None, |ticket| CallerEvent::ClearDoubts { ticket });
+            }
+            Route::DeclareDead(name) => self.ask(call, None, |ticket| CallerEvent::DeclareDead {
+                ticket,
+                name: name.as_str().into(),
+            }),
         }
     }
 
--- a/crates/chervilring_daemon/src/http/route.rs
+++ b/crates/chervilring_daemon/src/http/route.rs
@@ -31,6 +31,10 @@
     Cancel(Layout, String),
     /// Asks for the status of the entry.
     Status,
+    /// Declares another entry dead.
+    DeclareDead(String),
+    /// Clears the doubts about ids of lost homes.
+    ClearDoubts,
 }
 
 /// Finds the route of a method and path.
@@ -60,13 +64,21 @@
             Method::Get | Method::Head => Ok(Route::Status),
             _ => Err(method_not_allowed("GET, HEAD")),
         },
+        ["v1", "doubts"] => match method {
+            Method::Delete => Ok(Route::ClearDoubts),
+            _ => Err(method_not_allowed("DELETE")),
+        },
+        ["v1", "members", name, "dead"] => match method {
+            Method::Post => Ok(Route::DeclareDead(decode(name)?)),
+            _ => Err(method_not_allowed("POST")),
+        },
         _ => Err(unknown_path()),
     }
 }
 
 fn unknown_path() -> Answer {
     let detail = "Paths: /v1/services/{service}/requests, /v1/requests/{id}, /v1/jobs/{id}, \
-                  /v1/status, /healthz, /readyz, /metrics";
+                  /v1/status, /v1/members/{name}/dead, /v1/doubts, /healthz, /readyz, /metrics";
     Problem::new(404, "unknown-path", "There is nothing at this path")
         .detail(detail)
         .answer()
--- a/crates/chervilring_dev/tests/processes/main.rs
+++ b/crates/chervilring_dev/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod configuration;
+mod declared;
 mod ids;
 mod kill;
 mod stop;
