Replay against real processes

Entries, agents, upstreams and the store's stand-in on loopback; the same traces, report and outcomes, held against the starts that upstreams counted.

--- a/crates/chervilring_dev/src/commands/replay.rs
+++ b/crates/chervilring_dev/src/commands/replay.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use chervilring_core::dispatch::Policy;
 use chervilring_dev::replay::trace::Trace;
-use chervilring_dev::replay::{Format, Line, generate, names, play, render};
+use chervilring_dev::replay::{Format, Line, generate, names, play, play_processes, render};
 use eyre::{Context, eyre};
 
 /// plays a trace, by name or from a file of JSON lines
@@ -55,19 +55,25 @@
         "svg" => Format::Svg,
         other => return Err(eyre!("report \"{other}\" is none of text, json, svg")),
     };
-    if !args.core && args.write.is_none() {
-        return Err(eyre!("only replay with --core is there yet"));
-    }
     let traces = traces(args)?;
     if let Some(path) = &args.write {
         let file = File::create(path).wrap_err_with(|| format!("cannot create {path}"))?;
         return traces.first().map_or(Ok(()), |t| t.write(file));
     }
+    if !args.core && args.policy.is_some() {
+        return Err(eyre!(
+            "--policy goes with --core: processes have the one they ship with"
+        ));
+    }
     let policies = policies(args.policy.as_deref())?;
     let mut lines = Vec::new();
     for trace in &traces {
         for policy in &policies {
-            let played = play(trace, *policy, args.seed);
+            let played = if args.core {
+                play(trace, *policy, args.seed)
+            } else {
+                play_processes(trace, &std::env::current_exe()?)?
+            };
             let line = Line {
                 summary: played.summary(trace, policy.name),
                 target: trace.head.target,
--- a/crates/chervilring_dev/src/replay/mod.rs
+++ b/crates/chervilring_dev/src/replay/mod.rs
@@ -7,6 +7,7 @@
 mod measure;
 mod oracle;
 mod plot;
+mod processes;
 mod report;
 mod rng;
 pub mod trace;
@@ -15,5 +16,6 @@
 
 pub use generate::{generate, names};
 pub use measure::{Phase, Played, Summary};
+pub use processes::play_processes;
 pub use report::{Format, Line, render};
 pub use world::play;
--- a/crates/chervilring_dev/src/replay/report.rs
+++ b/crates/chervilring_dev/src/replay/report.rs
@@ -87,6 +87,7 @@
     let Some(last) = summary.phases.last() else {
         return String::new();
     };
+    let wasted = line.target.wasted.filter(|_| summary.control > 0.0);
     let checks = [
         (
             "p50/oracle",
@@ -101,7 +102,7 @@
             false,
         ),
         ("p50/ideal", line.target.ideal, last.reached.median, false),
-        ("wasted", line.target.wasted, summary.wasted.total(), false),
+        ("wasted", wasted, summary.wasted.total(), false),
         ("goodput", line.target.goodput, last.goodput, true),
     ];
     let mut out = String::from("   ");
@@ -122,16 +123,19 @@
         .map(|(name, count)| format!("{count} {name}"));
     let failures: Vec<_> = failures.collect();
     let wasted = &summary.wasted;
-    let _ = write!(
-        out,
-        " wasted: refused {:.1} retried {:.1} hedged {:.1} cancelled {:.1} turned {:.1}; ejected {}; {}",
-        wasted.refused,
-        wasted.retried,
-        wasted.hedged,
-        wasted.cancelled,
-        wasted.turned,
-        summary.ejected,
-        failures.join(", "),
-    );
+    let messages = if summary.control > 0.0 {
+        format!(
+            "refused {:.1} retried {:.1} hedged {:.1} cancelled {:.1} turned {:.1}; ejected {}",
+            wasted.refused,
+            wasted.retried,
+            wasted.hedged,
+            wasted.cancelled,
+            wasted.turned,
+            summary.ejected,
+        )
+    } else {
+        "not counted".to_owned()
+    };
+    let _ = write!(out, " wasted: {messages}; {}", failures.join(", "));
     out
 }
