--- a/crates/chervilring_dev/src/replay/mod.rs
+++ b/crates/chervilring_dev/src/replay/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod generate;
 mod home;
+mod hosts;
 mod measure;
 mod oracle;
 mod plot;
