--- a/crates/chervilring_dev/src/bench/wire.rs
+++ b/crates/chervilring_dev/src/bench/wire.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use chervilring_wire::{
-    AgentId, AgentMessage, AgentState, Announce, Attempt, Datagram, EntryMessage, Incarnation,
-    Load, Micros, Origin, Revision, RingVersion, StartBatch, SubmissionId, TaskAnswer, TaskIndex,
-    TaskKey, TaskOutcome, TaskOutput, TaskStart, codec,
+    AgentConfig, AgentId, AgentMessage, AgentState, Announce, Attempt, Datagram, EntryMessage,
+    Incarnation, Load, Micros, Origin, Revision, RingVersion, StartBatch, SubmissionId, TaskAnswer,
+    TaskIndex, TaskKey, TaskOutcome, TaskOutput, TaskStart, codec,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -46,9 +46,23 @@
         let keys = (0..n).map(key).collect();
         cost("received (tasks)", n, &EntryMessage::Received(keys))
     }));
+    costs.extend(
+        counts
+            .iter()
+            .map(|&n| cost("configuration (limits)", n, &limits(n))),
+    );
     costs
 }
 
+/// What an agent gets of a configuration that limits the slots of `n` of its services.
+fn limits(n: usize) -> EntryMessage {
+    let cap = |i: usize| (format!("service-{i:04}").as_str().into(), 8);
+    EntryMessage::Config(AgentConfig {
+        revision: Revision(1_000_000),
+        caps: (0..n).map(cap).collect(),
+    })
+}
+
 fn cost<T: Serialize + DeserializeOwned>(
     name: &'static str,
     count: usize,
