--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -1,8 +1,7 @@
 //! The way of a submission: to its home, through the checks, into the queues.
 
 use chervilring_wire::{
-    EntryId, Failure, Kind, Micros, Now, Origin, PeerMessage, Reason, Reply, Submission, Ticket,
-    Time, Verdict,
+    EntryId, Failure, Micros, Now, Origin, PeerMessage, Reason, Submission, Ticket, Time, Verdict,
 };
 
 use super::forwards::{Forward, Passed};
@@ -14,7 +13,7 @@
 use crate::membership::{Place, Standing};
 
 /// When a submission that met a changing ring is routed again.
-const REROUTE: Micros = Micros::from_millis(50);
+pub(super) const REROUTE: Micros = Micros::from_millis(50);
 
 /// How long submissions are queued while no work may start, before they are refused.
 const HOLD: Micros = Micros::from_secs(1);
@@ -23,7 +22,7 @@
 pub(super) const TAKEOVER: Micros = Micros::from_secs(10);
 
 /// When to come back where the state is likely to pass soon.
-const SOON: Micros = Micros::from_secs(1);
+pub(super) const SOON: Micros = Micros::from_secs(1);
 
 /// How much later than the caller's deadline another entry's reply is still awaited, so that its
 /// verdict wins over ours.
@@ -109,7 +108,7 @@
     }
 
     /// Takes a submission at its home: joins a known one or checks and queues a new one.
-    fn admit(&mut self, now: Now, caller: Caller, submission: Submission) {
+    pub(super) fn admit(&mut self, now: Now, caller: Caller, submission: Submission) {
         let id = submission.id;
         let Some((fingerprint, known)) = self.ids.get(id) else {
             return self.admit_new(now, caller, submission);
@@ -276,69 +275,6 @@
         }
         Err(failure(Verdict::NotRun, Reason::NoAuthority, Some(SOON)))
     }
-
-    /// Handles the reply of a submission's or query's home.
-    pub(super) fn forward_answered(
-        &mut self,
-        now: Now,
-        from: &EntryId,
-        ticket: Ticket,
-        reply: Reply,
-    ) {
-        let Some(forward) = self.forwards.answered(from, ticket) else {
-            self.counters.late += 1;
-            return;
-        };
-        if !is_changing(&reply) {
-            return self.reply(forward.caller, reply);
-        }
-        match forward.passed {
-            Passed::Submission(submission) => self.held.add(Held {
-                caller: forward.caller,
-                submission: *submission,
-                deadline: forward.deadline,
-                look_at: now.mono + REROUTE,
-            }),
-            Passed::Query => self.reply(forward.caller, reply),
-        }
-    }
-
-    /// Answers for a forward whose entry is gone.
-    ///
-    /// An idempotent request is started here instead; anything else may have run.
-    pub(super) fn lose_forward(&mut self, now: Now, forward: Forward) {
-        if let Passed::Submission(submission) = &forward.passed {
-            let deadline = forward.deadline;
-            if self.may_take_over(submission) && deadline > now.mono {
-                let mut submission = submission.as_ref().clone();
-                submission.origin = Origin::Local;
-                submission.id = self.local_id();
-                submission.remaining = Some(now.mono.until(deadline));
-                return self.admit(now, forward.caller, submission);
-            }
-        }
-        let refusal = failure(Verdict::MayHaveRun, Reason::HomeLost, Some(TAKEOVER));
-        self.refuse(forward.caller, refusal);
-    }
-
-    /// Returns whether a submission may run again after it may have run.
-    fn may_take_over(&self, submission: &Submission) -> bool {
-        let service = self.config.services.get(&submission.service);
-        let idempotent = service.is_some_and(|service| service.rules.idempotent);
-        submission.kind == Kind::Request && idempotent && !submission.strict
-    }
-
-    /// Answers for forwards whose reply is overdue.
-    pub(super) fn expire_forwards(&mut self, now: Now) {
-        for forward in self.forwards.expired(now.mono) {
-            if !self.ring().contains(&forward.to) {
-                self.lose_forward(now, forward);
-                continue;
-            }
-            let refusal = failure(Verdict::MayHaveRun, Reason::Deadline, Some(SOON));
-            self.refuse(forward.caller, refusal);
-        }
-    }
 }
 
 /// Returns the verdict on a submission whose id could not be looked up.
@@ -348,11 +284,3 @@
         Origin::Local => Verdict::NotRun,
     }
 }
-
-/// Returns whether a reply says that the id's home is changing.
-fn is_changing(reply: &Reply) -> bool {
-    let Reply::Failed(failure) = reply else {
-        return false;
-    };
-    matches!(failure.reason, Reason::NotHome | Reason::Unavailable)
-}
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -7,12 +7,14 @@
 mod agents;
 mod configuration;
 mod counters;
+mod ending;
 mod forwards;
 mod handover;
 mod held;
 mod ids;
 mod intake;
 mod limits;
+mod passing;
 mod peers;
 mod queries;
 mod status;
@@ -24,7 +26,7 @@
 use std::sync::Arc;
 
 use chervilring_wire::{
-    EntryId, Failure, Micros, Name, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
+    EntryId, Failure, Micros, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
 };
 
 use crate::config::Config;
@@ -37,7 +39,6 @@
 use handover::HandoverTable;
 use held::HeldTable;
 use ids::IdTable;
-use intake::TAKEOVER;
 use peers::PeerTable;
 use waits::{Caller, WaitTable};
 
@@ -137,32 +138,6 @@
         self.membership.store(now, event);
     }
 
-    /// Takes an operator's word that another entry is dead and will not come back. Returns whether
-    /// there is such an entry whose link is down; one whose link is up is not dead.
-    pub fn declare_dead(&mut self, now: Now, name: &Name) -> bool {
-        let declared = self.membership.declare_dead(now, name);
-        if declared {
-            let change = Change::DeclaredDead(name.clone());
-            self.steps.push(EntryStep::Change(change));
-        }
-        declared
-    }
-
-    /// Takes an operator's word that no id of before will be submitted again.
-    pub fn clear_doubts(&mut self, now: Now) {
-        self.membership.clear_doubts(now);
-        self.steps.push(EntryStep::Change(Change::DoubtsCleared));
-    }
-
-    /// Begins a planned stop: nothing new is taken, what runs is finished, ids are handed over.
-    pub fn leave(&mut self, now: Now) {
-        if !self.stopping {
-            self.stopping = true;
-            self.steps.push(EntryStep::Change(Change::Stopping));
-            self.membership.drain_out(now);
-        }
-    }
-
     /// Runs the systems over the tables.
     pub fn run(&mut self, now: Now) {
         self.keep_house(now);
@@ -195,28 +170,6 @@
         std::mem::take(&mut self.steps)
     }
 
-    /// Answers everybody: the ids that were at home here have moved on, and this life is over.
-    fn evicted(&mut self) {
-        let mut callers = self.waits.take_all();
-        callers.extend(self.held.take_all().into_iter().map(|held| held.caller));
-        callers.extend(self.forwards.take_all().into_iter().map(|f| f.caller));
-        for caller in callers {
-            let lost = failure(Verdict::MayHaveRun, Reason::HomeLost, Some(TAKEOVER));
-            self.refuse(caller, lost);
-        }
-        self.stopping = true;
-        self.steps.push(EntryStep::Change(Change::Evicted));
-        self.steps.push(EntryStep::Evicted);
-    }
-
-    /// Leaves the ring once everything taken in is answered.
-    fn leave_ring(&mut self, now: Now) {
-        if self.stopping && !self.leaving && self.is_idle() {
-            self.leaving = true;
-            self.membership.leave(now);
-        }
-    }
-
     /// Makes up an id that no other entry and no earlier life of this one uses.
     fn local_id(&mut self) -> SubmissionId {
         self.local_ids += 1;
--- a/crates/chervilring_dev/src/replay/mod.rs
+++ b/crates/chervilring_dev/src/replay/mod.rs
@@ -1,6 +1,7 @@
 //! Replay of traces: against the decision core in virtual time, or against real processes.
 
-pub mod deployment;
+pub mod callers;
+mod deployment;
 mod faults;
 mod generate;
 mod home;
