--- a/crates/chervilring_daemon/src/agent/run.rs
+++ b/crates/chervilring_daemon/src/agent/run.rs
@@ -37,8 +37,8 @@
 ///
 /// Returns an error when it cannot start, as when its port is taken, or its loop fails.
 pub fn run(settings: &AgentSettings) -> eyre::Result<()> {
-    let name = &settings.name;
-    let log = log::logger(settings.format, settings.level, "agent", name);
+    let name = &settings.common.name;
+    let log = log::logger(settings.common.format, settings.common.level, "agent", name);
     let id = AgentId {
         name: name.clone(),
         incarnation: incarnation(),
@@ -84,11 +84,11 @@
 /// Returns the settings of the decisions.
 fn decisions(settings: &AgentSettings, id: &AgentId) -> Decisions {
     let skew = Micros(MAX_SKEW.0 * 2);
-    Decisions::new(id.clone(), settings.domain.clone())
+    Decisions::new(id.clone(), settings.common.domain.clone())
         .labels(settings.labels.clone())
-        .window(settings.window + skew)
-        .budget(usize::try_from(settings.ids).unwrap_or(usize::MAX))
-        .drain(settings.stop)
+        .window(settings.common.window + skew)
+        .budget(usize::try_from(settings.common.ids).unwrap_or(usize::MAX))
+        .drain(settings.common.stop)
 }
 
 /// Tells this life apart from earlier ones by the wall clock.
--- a/crates/chervilring_daemon/src/entry/setup.rs
+++ b/crates/chervilring_daemon/src/entry/setup.rs
@@ -51,7 +51,12 @@
 ///
 /// Returns an error when a setting cannot be used, as when a port is taken.
 pub fn run_entry(settings: &EntrySettings) -> Result<()> {
-    let log = log::logger(settings.format, settings.level, "entry", &settings.name);
+    let log = log::logger(
+        settings.common.format,
+        settings.common.level,
+        "entry",
+        &settings.common.name,
+    );
     let mut settings = settings.clone();
     loop {
         let mut events = EventLoop::new().wrap_err("the event loop cannot be created")?;
@@ -99,13 +104,13 @@
         let inbox = Inbox::new(cx, deliver);
         let api = self.start_api(&metrics, &inbox)?;
         let id = EntryId {
-            name: settings.name.clone(),
+            name: settings.common.name.clone(),
             incarnation: new_incarnation(),
         };
         let clock = Clock::start();
         let member = Member {
             entry: id.clone(),
-            domain: settings.domain.clone(),
+            domain: settings.common.domain.clone(),
             addr: advertised(settings.advertise, peer),
             draining: false,
         };
@@ -128,7 +133,7 @@
             store,
             inbox,
             report: Report::new(&metrics),
-            stop_span: settings.stop,
+            stop_span: settings.common.stop,
             log: self.log,
         };
         Ok(EntryDaemon::new(parts))
@@ -171,13 +176,13 @@
         .lease(settings.lease)
         .authority(settings.authority)
         .skew(settings.skew)
-        .window(settings.window)
+        .window(settings.common.window)
         .build();
     let membership = Membership::new(membership, clock.now());
-    let dispatch = DispatchSettings::new(settings.domain.clone()).seed(seed);
-    let unstamped = settings.ids as usize;
+    let dispatch = DispatchSettings::new(settings.common.domain.clone()).seed(seed);
+    let unstamped = settings.common.ids as usize;
     let limits = Limits::builder()
-        .window(settings.window)
+        .window(settings.common.window)
         .skew(settings.skew)
         .unstamped(unstamped)
         .answer_bytes(settings.answers as usize)
--- a/crates/chervilring_daemon/src/settings/agent.rs
+++ b/crates/chervilring_daemon/src/settings/agent.rs
@@ -3,22 +3,18 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use chervilring_wire::{DomainName, Micros, Name};
-use slog::Level;
+use chervilring_wire::Name;
 
 use super::common::CommonSettings;
 use super::parse::{self, SettingError};
-use super::show::{show, span};
+use super::show::show;
 use super::source::Source;
-use crate::log::LogFormat;
 
 /// The settings of an agent, checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AgentSettings {
-    /// The name, unique among agents and kept over restarts.
-    pub name: Name,
-    /// The failure domain that the agent's worker stands in.
-    pub domain: DomainName,
+    /// What both daemons have.
+    pub common: CommonSettings,
     /// Where the upstream and operators reach it over HTTP.
     pub http: SocketAddr,
     /// The UDP socket for announcements.
@@ -27,36 +23,19 @@
     pub entries: Vec<SocketAddr>,
     /// Labels of the worker, as `key=value`, for the selectors of services.
     pub labels: Vec<Name>,
-    /// How long started ids are remembered.
-    pub window: Micros,
-    /// Started ids that are remembered at once.
-    pub ids: u64,
-    /// How long a planned stop waits for work in flight.
-    pub stop: Micros,
-    /// How log lines are written.
-    pub format: LogFormat,
-    /// The least severe level that is logged.
-    pub level: Level,
 }
 
 impl AgentSettings {
     /// Starts to build the settings of an agent.
     pub fn builder(name: &str, domain: &str) -> AgentSettingsBuilder {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let common = CommonSettings::default();
         AgentSettingsBuilder {
             settings: Self {
-                name: name.into(),
-                domain: domain.into(),
+                common: CommonSettings::new(name, domain),
                 http: any,
                 udp: any,
                 entries: Vec::new(),
                 labels: Vec::new(),
-                window: common.window,
-                ids: common.ids,
-                stop: common.stop,
-                format: common.format,
-                level: common.level,
             },
         }
     }
@@ -68,13 +47,9 @@
     /// Returns the first setting that is missing or has a value that is not allowed.
     pub fn read(source: &Source) -> Result<Self, SettingError> {
         let common = CommonSettings::read(source)?;
-        let mut builder = Self::builder(&common.name, &common.domain);
+        let mut builder = Self::builder(&common.name, common.domain.as_str());
         let settings = &mut builder.settings;
-        settings.window = common.window;
-        settings.ids = common.ids;
-        settings.stop = common.stop;
-        settings.format = common.format;
-        settings.level = common.level;
+        settings.common = common;
         if let Some(text) = source.get("http")? {
             settings.http = parse::addr("http", text)?;
             settings.udp = SocketAddr::new(settings.http.ip(), 0);
@@ -124,8 +99,7 @@
     /// Returns the first setting whose value is not allowed.
     pub fn build(self) -> Result<AgentSettings, SettingError> {
         let settings = self.settings;
-        parse::name("name", &settings.name)?;
-        parse::name("domain", settings.domain.as_str())?;
+        settings.common.check()?;
         if settings.entries.is_empty() {
             return Err(SettingError::missing(
                 "entries",
@@ -147,18 +121,13 @@
 impl fmt::Display for AgentSettings {
     /// Writes one line for each setting, as an assignment of its environment variable.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.common.show_first(f)?;
         let mut show = |setting, value: &dyn fmt::Display| show(f, setting, value);
         let entries: Vec<String> = self.entries.iter().map(ToString::to_string).collect();
-        show("name", &self.name)?;
-        show("domain", &self.domain)?;
         show("http", &self.http)?;
         show("udp", &self.udp)?;
         show("entries", &entries.join(","))?;
         show("labels", &self.labels.join(","))?;
-        show("window", &span(self.window))?;
-        show("ids", &self.ids)?;
-        show("stop", &span(self.stop))?;
-        show("log-format", &self.format)?;
-        show("log-level", &self.level.as_str().to_ascii_lowercase())
+        self.common.show_last(f)
     }
 }
--- a/crates/chervilring_daemon/src/settings/common.rs
+++ b/crates/chervilring_daemon/src/settings/common.rs
@@ -1,11 +1,13 @@
 //! Settings that entries and agents share.
 
+use std::fmt;
 use std::str::FromStr;
 
-use chervilring_wire::{Micros, Name};
+use chervilring_wire::{DomainName, Micros, Name};
 use slog::Level;
 
 use super::parse::{self, SettingError};
+use super::show::{show, span};
 use super::source::Source;
 use crate::log::LogFormat;
 
@@ -14,22 +16,30 @@
 const DEFAULT_STOP: Micros = Micros::from_secs(30);
 
 /// The settings that both daemons have.
-#[derive(Debug)]
-pub(super) struct CommonSettings {
-    pub(super) name: Name,
-    pub(super) domain: Name,
-    pub(super) window: Micros,
-    pub(super) ids: u64,
-    pub(super) stop: Micros,
-    pub(super) format: LogFormat,
-    pub(super) level: Level,
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommonSettings {
+    /// The name, unique among processes of the kind and kept over restarts.
+    pub name: Name,
+    /// The failure domain that the process stands in.
+    pub domain: DomainName,
+    /// How long ids are remembered.
+    pub window: Micros,
+    /// Ids that are remembered at once; at an entry, those without a stamp.
+    pub ids: u64,
+    /// How long a planned stop waits for work in flight.
+    pub stop: Micros,
+    /// How log lines are written.
+    pub format: LogFormat,
+    /// The least severe level that is logged.
+    pub level: Level,
 }
 
-impl Default for CommonSettings {
-    fn default() -> Self {
+impl CommonSettings {
+    /// Starts from the defaults.
+    pub(super) fn new(name: &str, domain: &str) -> Self {
         Self {
-            name: "".into(),
-            domain: "".into(),
+            name: name.into(),
+            domain: domain.into(),
             window: DEFAULT_WINDOW,
             ids: DEFAULT_IDS,
             stop: DEFAULT_STOP,
@@ -37,6 +47,28 @@
             level: Level::Info,
         }
     }
+
+    /// Checks the names.
+    pub(super) fn check(&self) -> Result<(), SettingError> {
+        parse::name("name", &self.name)?;
+        parse::name("domain", self.domain.as_str())?;
+        Ok(())
+    }
+
+    /// Writes the names, as the first lines of all settings.
+    pub(super) fn show_first(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        show(f, "name", &self.name)?;
+        show(f, "domain", &self.domain)
+    }
+
+    /// Writes the other settings, as the last lines.
+    pub(super) fn show_last(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        show(f, "window", &span(self.window))?;
+        show(f, "ids", &self.ids)?;
+        show(f, "stop", &span(self.stop))?;
+        show(f, "log-format", &self.format)?;
+        show(f, "log-level", &self.level.as_str().to_ascii_lowercase())
+    }
 }
 
 impl CommonSettings {
@@ -49,11 +81,8 @@
             let allowed = "the failure domain that this process stands in";
             return Err(SettingError::missing("domain", allowed));
         };
-        let mut common = Self {
-            name: parse::name("name", name)?,
-            domain: parse::name("domain", domain)?,
-            ..Self::default()
-        };
+        let mut common = Self::new(name, domain);
+        common.check()?;
         let (second, hour) = (Micros::from_secs(1), Micros::from_secs(3_600));
         if let Some(text) = source.get("window")? {
             common.window = parse::span("window", text, second, hour)?;
--- a/crates/chervilring_daemon/src/settings/entry.rs
+++ b/crates/chervilring_daemon/src/settings/entry.rs
@@ -4,14 +4,12 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use chervilring_platform::DEFAULT_PREFIX;
-use chervilring_wire::{DomainName, Micros, Name};
-use slog::Level;
+use chervilring_wire::{Micros, Name};
 
 use super::common::{self, CommonSettings};
 use super::parse::{self, SettingError};
 use super::show::{show, span};
 use super::source::Source;
-use crate::log::LogFormat;
 
 const DEFAULT_LEASE: Micros = Micros::from_secs(5);
 const DEFAULT_AUTHORITY: Micros = Micros::from_secs(3);
@@ -26,10 +24,8 @@
 /// The settings of an entry, checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EntrySettings {
-    /// The name, unique among entries and kept over restarts.
-    pub name: Name,
-    /// The failure domain that the entry stands in.
-    pub domain: DomainName,
+    /// What both daemons have.
+    pub common: CommonSettings,
     /// Where callers and operators reach it over HTTP.
     pub http: SocketAddr,
     /// Where peers and agents reach it over TCP and UDP.
@@ -46,33 +42,21 @@
     pub authority: Micros,
     /// How far wall clocks of callers and entries may differ.
     pub skew: Micros,
-    /// How long ids and answers are remembered.
-    pub window: Micros,
-    /// Ids without a stamp that are remembered at once.
-    pub ids: u64,
     /// Bytes of answers that are kept for callers who come back.
     pub answers: u64,
     /// The longest body of a request or job, in bytes.
     pub body: u64,
     /// Callers that may wait for an answer at once.
     pub callers: u64,
-    /// How long a planned stop waits for work in flight.
-    pub stop: Micros,
-    /// How log lines are written.
-    pub format: LogFormat,
-    /// The least severe level that is logged.
-    pub level: Level,
 }
 
 impl EntrySettings {
     /// Starts to build the settings of an entry.
     pub fn builder(name: &str, domain: &str) -> EntrySettingsBuilder {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let common = CommonSettings::default();
         EntrySettingsBuilder {
             settings: Self {
-                name: name.into(),
-                domain: domain.into(),
+                common: CommonSettings::new(name, domain),
                 http: any,
                 peer: any,
                 advertise: None,
@@ -81,14 +65,9 @@
                 lease: DEFAULT_LEASE,
                 authority: DEFAULT_AUTHORITY,
                 skew: DEFAULT_SKEW,
-                window: common.window,
-                ids: common.ids,
                 answers: DEFAULT_ANSWERS,
                 body: DEFAULT_BODY,
                 callers: DEFAULT_CALLERS,
-                stop: common.stop,
-                format: common.format,
-                level: common.level,
             },
         }
     }
@@ -100,13 +79,9 @@
     /// Returns the first setting that is missing or has a value that is not allowed.
     pub fn read(source: &Source) -> Result<Self, SettingError> {
         let common = CommonSettings::read(source)?;
-        let mut builder = Self::builder(&common.name, &common.domain);
+        let mut builder = Self::builder(&common.name, common.domain.as_str());
         let settings = &mut builder.settings;
-        settings.window = common.window;
-        settings.ids = common.ids;
-        settings.stop = common.stop;
-        settings.format = common.format;
-        settings.level = common.level;
+        settings.common = common;
         if let Some(text) = source.get("http")? {
             settings.http = parse::addr("http", text)?;
         }
@@ -167,8 +142,7 @@
     /// Returns the first setting whose value is not allowed.
     pub fn build(self) -> Result<EntrySettings, SettingError> {
         let settings = self.settings;
-        parse::name("name", &settings.name)?;
-        parse::name("domain", settings.domain.as_str())?;
+        settings.common.check()?;
         if settings.store.is_empty() {
             return Err(SettingError::missing(
                 "store",
@@ -218,9 +192,8 @@
 impl fmt::Display for EntrySettings {
     /// Writes one line for each setting, as an assignment of its environment variable.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.common.show_first(f)?;
         let mut show = |setting, value: &dyn fmt::Display| show(f, setting, value);
-        show("name", &self.name)?;
-        show("domain", &self.domain)?;
         show("http", &self.http)?;
         show("peer", &self.peer)?;
         if let Some(advertise) = &self.advertise {
@@ -231,13 +204,9 @@
         show("lease", &span(self.lease))?;
         show("authority", &span(self.authority))?;
         show("skew", &span(self.skew))?;
-        show("window", &span(self.window))?;
-        show("ids", &self.ids)?;
         show("answers", &self.answers)?;
         show("body", &self.body)?;
         show("callers", &self.callers)?;
-        show("stop", &span(self.stop))?;
-        show("log-format", &self.format)?;
-        show("log-level", &self.level.as_str().to_ascii_lowercase())
+        self.common.show_last(f)
     }
 }
--- a/crates/chervilring_daemon/src/settings/mod.rs
+++ b/crates/chervilring_daemon/src/settings/mod.rs
@@ -11,6 +11,7 @@
 mod source;
 
 pub use agent::{AgentSettings, AgentSettingsBuilder};
+pub use common::CommonSettings;
 pub use entry::{EntrySettings, EntrySettingsBuilder};
 pub use parse::{SettingError, parse_span};
 pub use source::Source;
