--- a/crates/chervilring_daemon/src/entry/store.rs
+++ b/crates/chervilring_daemon/src/entry/store.rs
@@ -84,8 +84,10 @@
     let mut reachable = true;
     for call in queue {
         let mut head = None;
+        // An entry that never had a lease gives none back: that tells nothing of the store.
+        let asks = call != StoreCall::Release;
         let result = carry_out(&mut store, clock, call, &mut head);
-        if result.is_ok() != reachable {
+        if asks && result.is_ok() != reachable {
             reachable = result.is_ok();
             log_reachable(log, result.as_ref().err());
         }
