Admission counts on a fair share of the slots that other entries hold

Cause: the rate by which a submission's finish is expected left out all slots that others held at the last word of an agent; with few agents that left almost none, and jobs that half a second would have done were refused by a deadline of 10 s (6 of 123 with three entries and two agents). Ruled out: ejected upstreams (none) and wrong run times (51 ms learnt of 50). Now at least the entry's share of all slots counts.

--- a/crates/chervilring_core/src/dispatch/admission.rs
+++ b/crates/chervilring_core/src/dispatch/admission.rs
@@ -42,7 +42,7 @@
             return Err((Reason::IdReused, None));
         }
         self.check_upstreams(row)?;
-        check_deadline(now, row, work)?;
+        check_deadline(now, row, work, self.demand.entries())?;
         self.check_room(row, work)?;
         self.check_quota(now, index, work)?;
         Ok(index)
@@ -99,13 +99,15 @@
 }
 
 /// Refuses what cannot be done by its deadline, on an empty system or behind what waits.
-fn check_deadline(now: Time, row: &ServiceRow, work: &Work) -> Result<(), Refusal> {
+fn check_deadline(now: Time, row: &ServiceRow, work: &Work, entries: u32) -> Result<(), Refusal> {
     let left = now.until(work.deadline).0 as f64;
     let shortest = row.pool.shortest();
     if left <= shortest.unwrap_or_default() * SHORTEST_SHARE {
         return Err((Reason::Deadline, None));
     }
-    let rate = row.pool.rate();
+    // What other entries hold now they will not hold for ever: a fair share is to be had.
+    let fair = row.pool.whole_rate() / f64::from(entries);
+    let rate = row.pool.rate().max(fair);
     if rate <= 0.0 {
         return Ok(());
     }
--- a/crates/chervilring_core/src/dispatch/lanes.rs
+++ b/crates/chervilring_core/src/dispatch/lanes.rs
@@ -96,6 +96,7 @@
             let lane = &mut pool.lanes[index];
             lane.span = row.trip + lane.speed.run(&pool.speed, &row.speed);
             lane.usable = usable && !lane.health.is_out();
+            lane.all = f64::from(slots);
             lane.mine = f64::from(slots.saturating_sub(row.others));
             lane.fill = (row.own + row.others) * 1_000 / slots.max(1);
             let most = limit.min(lane.health.window());
--- a/crates/chervilring_core/src/dispatch/pool.rs
+++ b/crates/chervilring_core/src/dispatch/pool.rs
@@ -33,6 +33,8 @@
     pub(crate) speed: LaneSpeed,
     /// Expected span of a task on an empty slot, in microseconds, round trip included.
     pub(crate) span: f64,
+    /// All slots.
+    pub(crate) all: f64,
     /// Slots that other entries do not hold.
     pub(crate) mine: f64,
     /// Tasks that it may be sent now.
@@ -49,6 +51,7 @@
     /// What it adds to the sums of its bucket.
     slots: f64,
     rate: f64,
+    whole: f64,
 }
 
 /// Lanes of about equal speed.
@@ -59,6 +62,8 @@
     slots: f64,
     /// Tasks that the usable lanes finish in a microsecond.
     rate: f64,
+    /// The same with the slots that other entries hold.
+    whole: f64,
 }
 
 /// The lanes of a service.
@@ -100,6 +105,11 @@
         self.buckets.iter().map(|b| b.rate).sum::<f64>().max(0.0)
     }
 
+    /// Returns the tasks that the lanes would finish in a microsecond if no other entry held slots.
+    pub(crate) fn whole_rate(&self) -> f64 {
+        self.buckets.iter().map(|b| b.whole).sum::<f64>().max(0.0)
+    }
+
     /// Returns the expected span of a task on the fastest lanes.
     pub(crate) fn shortest(&self) -> Option<f64> {
         let mut usable = self
@@ -143,11 +153,12 @@
         let lane = &mut self.lanes[index];
         let bucket = &mut self.buckets[lane.bucket];
         bucket.slots -= lane.slots;
+        bucket.whole -= lane.whole;
         bucket.rate -= lane.rate;
         if lane.slots > 0.0 || lane.rate > 0.0 {
             self.usable -= 1;
         }
-        (lane.slots, lane.rate) = (0.0, 0.0);
+        (lane.slots, lane.rate, lane.whole) = (0.0, 0.0, 0.0);
         if !lane.usable {
             return;
         }
@@ -155,8 +166,10 @@
         lane.bucket = bucket_of(lane.span);
         lane.slots = lane.mine.max(f64::MIN_POSITIVE);
         lane.rate = lane.mine / lane.span.max(1.0);
+        lane.whole = lane.all / lane.span.max(1.0);
         let bucket = &mut self.buckets[lane.bucket];
         bucket.slots += lane.slots;
+        bucket.whole += lane.whole;
         bucket.rate += lane.rate;
         if lane.open > 0 {
             lane.place = bucket.open.len();
--- a/crates/chervilring_core/src/dispatch/quota.rs
+++ b/crates/chervilring_core/src/dispatch/quota.rs
@@ -58,6 +58,11 @@
         self.peers.insert(entry.clone(), Report { at: now, teams });
     }
 
+    /// Returns how many entries report, this one included.
+    pub(crate) fn entries(&self) -> u32 {
+        self.peers.len() as u32 + 1
+    }
+
     /// Forgets peers that have gone silent and teams that ask no more.
     pub(crate) fn forget(&mut self, now: Time) {
         self.peers.retain(|_, r| now.since(r.at) < REPORT_SPAN);
--- a/crates/chervilring_core/tests/dispatch/admission.rs
+++ b/crates/chervilring_core/tests/dispatch/admission.rs
@@ -1,9 +1,9 @@
 //! What is refused, with which reason, and when callers are told to come back.
 
 use chervilring_core::dispatch::Work;
-use chervilring_wire::{EntryId, Failure, Incarnation, Kind, Micros, Reason, Time, Verdict};
+use chervilring_wire::{EntryId, Failure, Incarnation, Kind, Load, Micros, Reason, Time, Verdict};
 
-use super::fixture::{Fixture, done, quota, service};
+use super::fixture::{Fixture, SLOTS, done, quota, service};
 
 fn reason(result: &Result<(), Failure>) -> Option<Reason> {
     let failure = result.as_ref().err()?;
@@ -22,6 +22,27 @@
     panic!("nothing was refused");
 }
 
+#[test]
+fn slots_that_other_entries_hold_for_now_are_no_reason_to_refuse() {
+    let mut fixture = Fixture::new(2, service());
+    let other = EntryId {
+        name: "e2".into(),
+        incarnation: Incarnation(1),
+    };
+    fixture.dispatcher.peer_demand(fixture.now, &other, &[]);
+    // One slot of eight is free.
+    for (agent, running) in fixture.agents.clone().iter().zip([SLOTS, SLOTS - 1]) {
+        let load = Load {
+            slots: SLOTS,
+            running,
+            waiting: 0,
+        };
+        fixture.dispatcher.load(fixture.now, agent, load);
+    }
+    let work = fixture.work(1, Kind::Job, 40);
+    assert_eq!(reason(&fixture.submit(work)), None);
+}
+
 #[test]
 fn work_that_can_never_run_is_refused_at_once() {
     let mut fixture = Fixture::new(2, service());
