Entry: an agent keeps its limits when a link comes up

Cause: on a new link the agent's services are not known here yet, and it was sent no limits at the revision it already had; it took them in place of its own, so that a limited service could take all slots until the next announcement, up to a second. Ruled out: an older revision (agents refuse it). Until the services are known all limits are sent. The new test failed before (no limits sent) and passes now.

--- a/crates/chervilring_core/src/entry/agents.rs
+++ b/crates/chervilring_core/src/entry/agents.rs
@@ -137,7 +137,8 @@
         }
     }
 
-    /// Sends an agent what of the configuration concerns it, as far as its services are known.
+    /// Sends an agent the limits of its services, or of all while its services are not known: it
+    /// takes them in place of those that it has.
     fn send_agent_config(&mut self, to: &AgentId) {
         let Some(agent) = self.agents.table.get_mut(to) else {
             return;
@@ -146,9 +147,9 @@
             return;
         }
         agent.sent = self.config.revision;
-        let limit = |name: &ServiceName| self.config.services.get(name)?.limits.slots;
-        let services = agent.services.iter();
-        let caps = services.filter_map(|name| Some((name.clone(), limit(name)?)));
+        let concerns = |name| agent.services.is_empty() || agent.services.contains(name);
+        let services = self.config.services.values().filter(|s| concerns(&s.name));
+        let caps = services.filter_map(|s| Some((s.name.clone(), s.limits.slots?)));
         let config = AgentConfig {
             revision: self.config.revision,
             caps: caps.collect(),
--- a/crates/chervilring_core/src/entry/configuration.rs
+++ b/crates/chervilring_core/src/entry/configuration.rs
@@ -7,7 +7,7 @@
 use super::{Change, Entry, EntryStep};
 use crate::config::Config;
 
-/// The document of the configuration in force, as agents and peers get it.
+/// The document of the configuration in force, as peers get it.
 #[derive(Debug, Default)]
 pub(super) struct Revisions {
     blob: Option<ConfigBlob>,
--- a/crates/chervilring_core/src/entry/tests.rs
+++ b/crates/chervilring_core/src/entry/tests.rs
@@ -2,14 +2,17 @@
 
 use bytes::Bytes;
 use chervilring_wire::{
-    Failure, Micros, Now, Origin, Reason, Reply, Stamp, SubmissionId, TaskOutput, Ticket, Time,
-    Verdict,
+    AgentId, ConfigBlob, EntryId, EntryMessage, Failure, Incarnation, Member, Micros, Now, Origin,
+    Reason, Reply, Revision, Stamp, SubmissionId, TaskOutput, Ticket, Time, Verdict,
 };
 use quickcheck::{Gen, QuickCheck};
 
 use super::ids::{IdTable, Known};
 use super::limits::{Limits, LimitsBuilder};
 use super::waits::{Caller, WaitTable};
+use super::{Entry, EntryStep};
+use crate::dispatch::{DispatchSettings, Dispatcher};
+use crate::membership::{MemberSettings, Membership};
 
 const WINDOW: Micros = Micros::from_secs(60);
 const SKEW: Micros = Micros::from_secs(2);
@@ -172,6 +175,45 @@
     assert_eq!(table.len(), 20);
 }
 
+/// An agent that is linked before its services are known here keeps its limits: what another entry
+/// told it of the same revision must not be wiped out.
+#[test]
+fn an_agent_is_told_all_limits_while_its_services_are_unknown() {
+    let id = EntryId {
+        name: "e1".into(),
+        incarnation: Incarnation(1),
+    };
+    let member = Member {
+        entry: id.clone(),
+        domain: "norte".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        draining: false,
+    };
+    let membership = Membership::new(MemberSettings::builder(member).build(), at(0));
+    let dispatcher = Dispatcher::new(DispatchSettings::new("norte".into()));
+    let mut entry = Entry::new(id, membership, dispatcher, limits().build());
+    let document = br#"{"revision":1,"note":"n","services":[{"name":"parts",
+        "limits":{"slots":3},"rules":{"idempotent":true,"deadline":"5s"}}]}"#;
+    let blob = ConfigBlob {
+        revision: Revision(1),
+        document: Bytes::from_static(document),
+    };
+    entry.configure(at(0), blob);
+    let agent = AgentId {
+        name: "a1".into(),
+        incarnation: Incarnation(1),
+    };
+    entry.agent_up(at(0), &agent);
+    let told = entry.drain().into_iter().find_map(|step| match step {
+        EntryStep::Agent {
+            message: EntryMessage::Config(config),
+            ..
+        } => Some(config.caps),
+        _ => None,
+    });
+    assert_eq!(told, Some(vec![("parts".into(), 3)]));
+}
+
 /// Each caller who was added leaves the table exactly once, at the end of its submission or when
 /// its wait is over.
 #[test]
