--- a/crates/chervilring_core/src/entry/forwards.rs
+++ b/crates/chervilring_core/src/entry/forwards.rs
@@ -5,7 +5,6 @@
 use chervilring_wire::{EntryId, Ring, Submission, Ticket, Time};
 use rustc_hash::FxHashMap;
 
-use super::next_ticket;
 use super::waits::Caller;
 
 /// What was passed on.
@@ -43,7 +42,8 @@
 impl ForwardTable {
     /// Adds a forward and returns its ticket.
     pub(super) fn add(&mut self, forward: Forward) -> Ticket {
-        let ticket = next_ticket(&mut self.last);
+        self.last += 1;
+        let ticket = Ticket(self.last);
         self.expiries.insert((forward.until, ticket));
         self.table.insert(ticket, forward);
         ticket
--- a/crates/chervilring_core/src/entry/handover.rs
+++ b/crates/chervilring_core/src/entry/handover.rs
@@ -1,9 +1,11 @@
 //! Ids that move with a planned stop or join.
 
-use chervilring_wire::{EntryId, Handover, Now, PeerMessage, Reply, RingVersion, SubmissionId};
+use chervilring_wire::{
+    EntryId, Handover, Now, PeerMessage, Reason, Reply, RingVersion, SubmissionId, Verdict,
+};
 
 use super::ids::Known;
-use super::{Entry, EntryStep};
+use super::{Entry, EntryStep, failure};
 
 /// The most ids in one frame.
 const CHUNK_IDS: usize = 1024;
@@ -91,11 +93,7 @@
 
 /// Stands for an answer that is no longer kept.
 fn gone() -> Reply {
-    Reply::Failed(super::failure(
-        chervilring_wire::Verdict::MayHaveRun,
-        chervilring_wire::Reason::AnswerGone,
-        None,
-    ))
+    Reply::Failed(failure(Verdict::MayHaveRun, Reason::AnswerGone, None))
 }
 
 fn body_bytes(reply: &Reply) -> usize {
--- a/crates/chervilring_core/src/entry/ids.rs
+++ b/crates/chervilring_core/src/entry/ids.rs
@@ -8,6 +8,7 @@
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use super::failure;
 use super::limits::Limits;
 
 /// What is known of an id.
@@ -82,10 +83,10 @@
         if let Some(stamp) = id.stamp() {
             self.check_stamp(stamp)?;
         } else if self.unstamped >= self.limits.unstamped {
-            return Err(refusal(Verdict::NotRun, Reason::TableFull));
+            return Err(failure(Verdict::NotRun, Reason::TableFull, None));
         }
         if self.table.len() >= self.limits.ids {
-            return Err(refusal(Verdict::NotRun, Reason::TableFull));
+            return Err(failure(Verdict::NotRun, Reason::TableFull, None));
         }
         Ok(())
     }
@@ -94,7 +95,7 @@
         let oldest = self.latest.0.saturating_sub(self.limits.window.as_millis());
         let newest = self.latest.0 + self.limits.skew.as_millis();
         if stamp.0 < oldest || stamp.0 > newest {
-            return Err(refusal(Verdict::MayHaveRun, Reason::IdExpired));
+            return Err(failure(Verdict::MayHaveRun, Reason::IdExpired, None));
         }
         Ok(())
     }
@@ -268,14 +269,6 @@
     failure.verdict == Verdict::NotRun && failure.reason != Reason::Cancelled
 }
 
-fn refusal(verdict: Verdict, reason: Reason) -> Failure {
-    Failure {
-        verdict,
-        reason,
-        retry: None,
-    }
-}
-
 /// The bytes that a kept reply takes.
 fn size(reply: &Reply) -> usize {
     const REPLY: usize = 64;
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -26,7 +26,7 @@
 use std::sync::Arc;
 
 use chervilring_wire::{
-    EntryId, Failure, Micros, Now, Reason, Reply, Ring, SubmissionId, Ticket, Time, Verdict,
+    EntryId, Failure, Micros, Now, PeerMessage, Reason, Reply, Ring, SubmissionId, Time, Verdict,
 };
 
 use crate::config::Config;
@@ -267,11 +267,9 @@
     /// Answers callers who do not wait for the end.
     fn expire_waits(&mut self, now: Time) {
         for (id, caller) in self.waits.expired(now) {
-            let reply = match self.dispatcher.progress(id) {
-                Some(progress) => Reply::Pending(progress),
-                None => continue,
-            };
-            self.reply(caller, reply);
+            if let Some(progress) = self.dispatcher.progress(id) {
+                self.reply(caller, Reply::Pending(progress));
+            }
         }
     }
 
@@ -281,7 +279,7 @@
             Caller::Local(ticket) => EntryStep::Reply { ticket, reply },
             Caller::Peer { entry, ticket } => EntryStep::Peer {
                 to: entry,
-                message: chervilring_wire::PeerMessage::Reply { ticket, reply },
+                message: PeerMessage::Reply { ticket, reply },
             },
         };
         self.steps.push(step);
@@ -307,9 +305,3 @@
         retry,
     }
 }
-
-/// Returns a ticket that no earlier forward has used.
-fn next_ticket(last: &mut u64) -> Ticket {
-    *last += 1;
-    Ticket(*last)
-}
--- a/crates/chervilring_daemon/src/net/link.rs
+++ b/crates/chervilring_daemon/src/net/link.rs
@@ -1,7 +1,5 @@
 //! One TCP connection that carries frames.
 
-use std::time::Instant;
-
 use chervilring_wire::codec::{self, CodecError};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,8 +20,6 @@
 /// A TCP connection with its buffers.
 pub(super) struct Link {
     tcp: TcpStreamBuf,
-    /// When the connection was opened or accepted.
-    pub(super) opened: Instant,
 }
 
 impl Link {
@@ -31,10 +27,7 @@
         let mut tcp = TcpStreamBuf::new();
         tcp.set_nodelay(true);
         tcp.init(stream);
-        Self {
-            tcp,
-            opened: Instant::now(),
-        }
+        Self { tcp }
     }
 
     /// Appends a frame to what is to be sent.
--- a/crates/chervilring_daemon/src/net/links.rs
+++ b/crates/chervilring_daemon/src/net/links.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use chervilring_wire::codec::CodecError;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -154,19 +153,4 @@
         self.table.remove(&id);
         self.unsent.remove(&id);
     }
-
-    /// Returns when a link was opened.
-    pub fn opened(&self, id: LinkId) -> Option<Instant> {
-        self.table.get(&id).map(|link| link.opened)
-    }
-
-    /// Returns how many links there are.
-    pub fn len(&self) -> usize {
-        self.table.len()
-    }
-
-    /// Returns whether there is no link.
-    pub fn is_empty(&self) -> bool {
-        self.table.is_empty()
-    }
 }
