--- a/crates/chervilring_core/src/lib.rs
+++ b/crates/chervilring_core/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod dispatch;
 pub mod entry;
 pub mod membership;
+pub mod runs;
--- /dev/null
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -0,0 +1,25 @@
+//! The decisions of a planner: which job runs when and where, and which is refused.
+
+mod admission;
+mod event;
+mod health;
+mod job;
+mod links;
+mod order;
+mod placement;
+mod settings;
+mod speed;
+mod state;
+mod systems;
+mod upstream;
+
+pub use admission::{Hold, hold};
+pub use event::PlannerEvent;
+pub use health::Health;
+pub use job::{Caller, NewJob, Step};
+pub use links::LinkNo;
+pub use order::urgency;
+pub use placement::{Choice, Offer, Wish, choose};
+pub use settings::PlannerSettings;
+pub use speed::Speed;
+pub use state::{JobAnswer, Planner, PlannerStep, Refusal};
--- /dev/null
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -0,0 +1,442 @@
+//! The tables of a planner and what comes in.
+
+use std::collections::BTreeMap;
+
+use chervilring_wire::{
+    ConfigCopy, JobId, Micros, Name, PlannerMessage, RunEnd, RunKey, RunnerMessage, Time,
+    UpstreamState,
+};
+use rustc_hash::FxHashMap;
+
+use super::admission::{Hold, hold};
+use super::event::{LossCause, PlannerEvent};
+use super::job::{Caller, Job, NewJob, Task, TaskState};
+use super::links::LinkNo;
+use super::settings::PlannerSettings;
+use super::upstream::{Profile, Upstream};
+use crate::runs::bounds::{BEAT, RUN_GONE};
+
+/// How long a run may stand at the same percentage before it is stopped and started elsewhere.
+const STALL: Micros = Micros::from_millis(500);
+
+/// The answer to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// All its tasks are done.
+    Completed,
+    /// A task has failed as often as its route allows.
+    Failed,
+    /// Nothing of it has run, and nothing will.
+    Refused(Refusal),
+    /// It may have run in part; nothing of it goes on.
+    GaveUp,
+}
+
+/// Why a job was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// There was no room for it in time.
+    Overload,
+    /// No upstream of its service can be reached.
+    Unreachable,
+    /// The process is about to stop, or has stood still.
+    Interrupted,
+}
+
+/// What is to be carried out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PlannerStep {
+    /// A message is to be sent.
+    Send {
+        /// The link to the runner.
+        link: LinkNo,
+        /// The message.
+        message: PlannerMessage,
+    },
+    /// A link is to be closed.
+    Close(LinkNo),
+    /// A caller is to be answered.
+    Answer {
+        /// The caller.
+        caller: Caller,
+        /// The job that it asked for.
+        job: JobId,
+        /// The answer.
+        answer: JobAnswer,
+        /// When to come back, if the job was refused.
+        comeback: Micros,
+    },
+    /// A runner knows a configuration that may be newer than the one in force.
+    Config(ConfigCopy),
+    /// Something is to be logged.
+    Log(PlannerEvent),
+}
+
+/// The decisions of a planner.
+#[derive(Debug)]
+pub struct Planner {
+    pub(super) settings: PlannerSettings,
+    pub(super) jobs: BTreeMap<u64, Job>,
+    pub(super) ids: FxHashMap<JobId, u64>,
+    pub(super) runs: FxHashMap<RunKey, (u64, usize)>,
+    pub(super) links: BTreeMap<LinkNo, Upstream>,
+    pub(super) profiles: FxHashMap<Name, Profile>,
+    pub(super) steps: Vec<PlannerStep>,
+    pub(super) config: Option<ConfigCopy>,
+    pub(super) random: fastrand::Rng,
+    /// When the next heartbeats are due.
+    pub(super) beat: Time,
+    /// Whether there may be room for waiting tasks since they were last looked at.
+    pub(super) changed: bool,
+    last: u64,
+}
+
+impl Planner {
+    /// Creates a planner without links and jobs.
+    pub fn new(settings: PlannerSettings, now: Time) -> Self {
+        Self {
+            random: fastrand::Rng::with_seed(settings.seed),
+            settings,
+            jobs: BTreeMap::new(),
+            ids: FxHashMap::default(),
+            runs: FxHashMap::default(),
+            links: BTreeMap::new(),
+            profiles: FxHashMap::default(),
+            steps: Vec::new(),
+            config: None,
+            beat: now + BEAT,
+            changed: false,
+            last: 0,
+        }
+    }
+
+    /// Takes in a caller's job. One that is in hand already is joined.
+    pub fn submit(&mut self, now: Time, caller: Caller, new: NewJob) {
+        if let Some(job) = self.ids.get(&new.id).and_then(|no| self.jobs.get_mut(no)) {
+            job.callers.push(caller);
+            return;
+        }
+        let chain = new.chain();
+        let slack = Micros((chain.0 as f64 * new.route.slack) as u64);
+        let objective = now + slack + new.route.target;
+        let hold = hold(&Hold {
+            arrived: now,
+            objective,
+            deadline: new.deadline,
+            chain,
+            share: self.settings.hold,
+        });
+        self.last += 1;
+        let no = self.last;
+        self.ids.insert(new.id, no);
+        let job = Job {
+            tasks: tasks(&new, now),
+            new,
+            callers: vec![caller],
+            arrived: now,
+            objective,
+            hold,
+            started: None,
+            starts: 0,
+            touched: false,
+        };
+        self.jobs.insert(no, job);
+        let left = self.place(now, no);
+        if left > 0 && self.jobs.get(&no).is_some_and(|j| j.started.is_none()) {
+            self.log_queued(no);
+        }
+        self.settle(now, no);
+    }
+
+    /// Takes in that a caller has left: nothing is run for callers who are gone.
+    pub fn caller_gone(&mut self, now: Time, caller: Caller) {
+        let found = self
+            .jobs
+            .iter_mut()
+            .find(|(_, j)| j.callers.contains(&caller));
+        let Some((&no, job)) = found else {
+            return;
+        };
+        job.callers.retain(|c| *c != caller);
+        if !job.callers.is_empty() {
+            return;
+        }
+        let event = PlannerEvent::Abandoned {
+            job: job.new.id,
+            runs: job.live().count() as u32,
+        };
+        self.steps.push(PlannerStep::Log(event));
+        self.remove(no);
+        self.schedule(now);
+    }
+
+    /// Takes in that a link has ended.
+    pub fn link_down(&mut self, now: Time, link: LinkNo) {
+        self.lose(now, link, now + RUN_GONE);
+        self.schedule(now);
+    }
+
+    /// Takes in a message of a runner.
+    pub fn message(&mut self, now: Time, link: LinkNo, message: RunnerMessage) {
+        if let Some(upstream) = self.links.get_mut(&link) {
+            upstream.heard = now;
+        }
+        match message {
+            RunnerMessage::Hello {
+                name,
+                domain,
+                config,
+            } => {
+                if let Some(config) = config {
+                    self.steps.push(PlannerStep::Config(config));
+                }
+                self.greet(now, link, Upstream::new(name, domain, now));
+            }
+            RunnerMessage::Beat(number) => {
+                if let Some(upstream) = self.links.get_mut(&link) {
+                    upstream.echo = number;
+                }
+            }
+            RunnerMessage::State(state) => self.set_state(now, link, state),
+            RunnerMessage::Refused { run, reason } => {
+                self.count_down(link);
+                self.restart(now, run, LossCause::Refused(reason));
+            }
+            RunnerMessage::Ended { run, end } => {
+                self.count_down(link);
+                self.ended(now, link, run, end);
+            }
+            RunnerMessage::Progress(rows) => self.progress(now, &rows),
+        }
+    }
+
+    /// Sets the configuration that runners are to keep a copy of.
+    pub fn set_config(&mut self, config: ConfigCopy) {
+        self.config = Some(config);
+        self.send_beats();
+    }
+
+    /// Returns the steps to carry out, in order.
+    pub fn drain(&mut self) -> Vec<PlannerStep> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Returns how many jobs of a route wait without any task started.
+    pub fn waiting(&self, route: &str) -> usize {
+        let waits = |j: &&Job| j.started.is_none() && &*j.new.route.name == route;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Returns whether a job is in hand.
+    pub fn has(&self, job: JobId) -> bool {
+        self.ids.contains_key(&job)
+    }
+
+    /// Cancels a job: its callers are told that it was given up. Returns whether it was in hand.
+    pub fn cancel(&mut self, now: Time, job: JobId) -> bool {
+        let Some(&no) = self.ids.get(&job) else {
+            return false;
+        };
+        self.finish(now, no, JobAnswer::GaveUp);
+        true
+    }
+
+    /// Returns how many jobs are in hand.
+    pub fn jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns how many runners are linked.
+    pub fn runners(&self) -> usize {
+        self.links.len()
+    }
+
+    fn greet(&mut self, now: Time, link: LinkNo, upstream: Upstream) {
+        let event = PlannerEvent::LinkUp {
+            runner: upstream.name.clone(),
+            domain: upstream.domain.clone(),
+        };
+        self.steps.push(PlannerStep::Log(event));
+        // The runner has ended all runs of its earlier links before it says hello on a new one.
+        let same = |(_, u): &(&LinkNo, &Upstream)| u.name == upstream.name;
+        let older: Vec<LinkNo> = self.links.iter().filter(same).map(|(&l, _)| l).collect();
+        for old in older {
+            self.lose(now, old, now);
+            self.steps.push(PlannerStep::Close(old));
+        }
+        let profile = self.profiles.entry(upstream.name.clone()).or_default();
+        profile.seen = now;
+        self.links.insert(link, upstream);
+        self.send_beat(link);
+    }
+
+    fn set_state(&mut self, now: Time, link: LinkNo, state: UpstreamState) {
+        let Some(upstream) = self.links.get_mut(&link) else {
+            return;
+        };
+        let shape = |s: &UpstreamState| (s.open, s.capacity);
+        let before = upstream.state.as_ref().map(|(s, _)| shape(s));
+        if before != Some(shape(&state)) {
+            let event = PlannerEvent::UpstreamChanged {
+                runner: upstream.name.clone(),
+                open: state.open,
+                capacity: state.capacity,
+            };
+            self.steps.push(PlannerStep::Log(event));
+        }
+        upstream.set_state(state, now);
+        self.changed = true;
+    }
+
+    fn count_down(&mut self, link: LinkNo) {
+        if let Some(upstream) = self.links.get_mut(&link) {
+            upstream.runs = upstream.runs.saturating_sub(1);
+        }
+    }
+
+    fn ended(&mut self, now: Time, link: LinkNo, run: RunKey, end: RunEnd) {
+        self.changed = true;
+        let Some(&(no, place)) = self.runs.get(&run) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let size = job.step(place).size;
+        job.touched = true;
+        let task = &mut job.tasks[place];
+        let name = self.links.get(&link).map(|u| u.name.clone());
+        let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
+        match end {
+            RunEnd::Done => {
+                if let (Some(profile), TaskState::Sent { at, .. }) = (profile, task.state) {
+                    profile.speed.learn(size, now.since(at));
+                    profile.health.good();
+                }
+                task.state = TaskState::Done;
+                self.runs.remove(&run);
+                self.settle(now, no);
+            }
+            RunEnd::Failed => {
+                task.failed += 1;
+                task.avoid.clone_from(&name);
+                let over = task.failed >= job.new.route.attempts.max(1);
+                if profile.is_some_and(|p| p.health.bad(now)) {
+                    self.log_out(name);
+                }
+                if over {
+                    self.log_lost(run, LossCause::Ended(end));
+                    self.finish(now, no, JobAnswer::Failed);
+                } else {
+                    self.restart(now, run, LossCause::Ended(end));
+                }
+            }
+            RunEnd::Stopped | RunEnd::Lapsed => self.restart(now, run, LossCause::Ended(end)),
+        }
+    }
+
+    /// Has a task started again after its newest run has come to nothing.
+    fn restart(&mut self, now: Time, run: RunKey, cause: LossCause) {
+        self.changed = true;
+        let Some((no, place)) = self.runs.get(&run).copied() else {
+            return;
+        };
+        self.log_lost(run, cause);
+        self.runs.remove(&run);
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.tasks[place].state = TaskState::Waiting(now);
+            let idle = !job.touched && job.live().next().is_none();
+            if idle {
+                // All that was sent was refused: the job is as new.
+                job.started = None;
+            }
+        }
+        self.settle(now, no);
+    }
+
+    /// Takes in how far runs have got, and stops those that stand still.
+    fn progress(&mut self, now: Time, rows: &[(RunKey, u8)]) {
+        for (run, percent) in rows {
+            let Some(&(no, place)) = self.runs.get(run) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&no) else {
+                continue;
+            };
+            let task = &mut job.tasks[place];
+            let TaskState::Sent { link, at } = task.state else {
+                continue;
+            };
+            let (last, grew) = task.progress;
+            if *percent != last || grew < at {
+                task.progress = (*percent, now);
+                continue;
+            }
+            if now.since(grew) < STALL {
+                continue;
+            }
+            task.state = TaskState::Stopping(link);
+            let name = self.links.get(&link).map(|u| u.name.clone());
+            task.avoid.clone_from(&name);
+            let message = PlannerMessage::Stop(vec![*run]);
+            self.steps.push(PlannerStep::Send { link, message });
+            self.log_lost(*run, LossCause::Stalled);
+            let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
+            if profile.is_some_and(|p| p.health.bad(now)) {
+                self.log_out(name);
+            }
+        }
+    }
+
+    fn log_queued(&mut self, no: u64) {
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        let service = job.new.route.service.as_str();
+        let event = PlannerEvent::Queued {
+            job: job.new.id,
+            queue: self.jobs.values().filter(|j| j.started.is_none()).count(),
+            upstreams: self.links.values().filter(|u| u.does(service)).count(),
+        };
+        self.steps.push(PlannerStep::Log(event));
+    }
+
+    pub(super) fn log_lost(&mut self, run: RunKey, cause: LossCause) {
+        let link = self.runs.get(&run).and_then(|(no, place)| {
+            match self.jobs.get(no)?.tasks[*place].state {
+                TaskState::Sent { link, .. } | TaskState::Stopping(link) => Some(link),
+                TaskState::Waiting(_) | TaskState::Done => None,
+            }
+        });
+        let upstream = link.and_then(|l| self.links.get(&l));
+        let runner = upstream.map(|u| u.name.clone());
+        let event = PlannerEvent::RunLost { run, runner, cause };
+        self.steps.push(PlannerStep::Log(event));
+    }
+
+    fn log_out(&mut self, name: Option<Name>) {
+        let Some(runner) = name else {
+            return;
+        };
+        let speed = self.profiles.get(&runner).map_or(1.0, |p| p.speed.value());
+        let event = PlannerEvent::UpstreamOut { runner, speed };
+        self.steps.push(PlannerStep::Log(event));
+    }
+}
+
+/// Returns the tasks of a new job.
+fn tasks(new: &NewJob, now: Time) -> Vec<Task> {
+    let rows = new.steps.iter().enumerate();
+    let of_step = |(step, row): (usize, &super::job::Step)| {
+        (0..row.count).map(move |index| Task {
+            step,
+            index,
+            state: TaskState::Waiting(now),
+            attempt: 0,
+            failed: 0,
+            avoid: None,
+            progress: (0, Time::default()),
+        })
+    };
+    rows.flat_map(of_step).collect()
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -0,0 +1,475 @@
+//! What a planner does over its tables: placing, giving up, heartbeats.
+
+use chervilring_wire::{Micros, Name, PlannerMessage, Resources, RunKey, StartRuns, Time};
+
+use super::event::{LossCause, PlannerEvent};
+use super::job::{Job, TaskState};
+use super::links::LinkNo;
+use super::order::urgency;
+use super::placement::{Choice, Offer, Wish, choose};
+use super::state::{JobAnswer, Planner, PlannerStep, Refusal};
+use crate::runs::bounds::{BEAT, LINK_SILENCE, RUN_GONE};
+
+/// How much longer a task runs away from the rack of its data.
+const FAR_FACTOR: f64 = 1.5;
+
+/// How long an upstream that is gone is remembered.
+const PROFILE_AGE: Micros = Micros::from_secs(600);
+
+/// How often waiting jobs are looked at again.
+const LOOK: Micros = Micros::from_millis(10);
+
+/// What is placed on one upstream.
+struct Place {
+    link: LinkNo,
+    name: Name,
+    tasks: Vec<usize>,
+}
+
+impl Planner {
+    /// Runs what is due.
+    pub fn tick(&mut self, now: Time) {
+        self.drop_silent(now);
+        if now >= self.beat {
+            self.beat = now + BEAT;
+            self.send_beats();
+            self.profiles.retain(|_, p| now.since(p.seen) < PROFILE_AGE);
+        }
+        if self.changed {
+            self.changed = false;
+            self.schedule(now);
+        }
+        let due: Vec<u64> = self.jobs.keys().copied().collect();
+        for no in due {
+            self.settle(now, no);
+        }
+    }
+
+    /// Returns when something may be due.
+    pub fn wake_at(&self) -> Time {
+        let waits = |j: &&Job| {
+            j.tasks
+                .iter()
+                .any(|t| matches!(t.state, TaskState::Waiting(_)))
+        };
+        let looks = self.jobs.values().any(|j| waits(&j));
+        if looks {
+            return self.beat.min(self.beat - BEAT + LOOK);
+        }
+        self.beat
+    }
+
+    /// Takes in that the process had stood still for some time: its links have ended at the other
+    /// side, and callers may have gone elsewhere.
+    pub fn paused(&mut self, now: Time, span: Micros) {
+        let event = PlannerEvent::Paused {
+            span,
+            jobs: self.jobs.len(),
+        };
+        self.steps.push(PlannerStep::Log(event));
+        let links: Vec<LinkNo> = self.links.keys().copied().collect();
+        for link in links {
+            self.lose(now, link, now);
+            self.steps.push(PlannerStep::Close(link));
+        }
+        self.give_up_all(now);
+    }
+
+    /// Gives up all jobs.
+    pub fn give_up_all(&mut self, now: Time) {
+        let all: Vec<u64> = self.jobs.keys().copied().collect();
+        for no in all {
+            self.give_up(now, no, Refusal::Interrupted);
+        }
+    }
+
+    /// Places the tasks that wait, those of started jobs first, then by urgency.
+    pub(super) fn schedule(&mut self, now: Time) {
+        let row = |(&no, job): (&u64, &Job)| {
+            let waits = job
+                .tasks
+                .iter()
+                .any(|t| matches!(t.state, TaskState::Waiting(_)));
+            let key = urgency(job.objective, job.new.chain());
+            waits.then_some((job.started.is_none(), key, no))
+        };
+        let mut order: Vec<(bool, Time, u64)> = self.jobs.iter().filter_map(row).collect();
+        order.sort_unstable();
+        for (_, _, no) in order {
+            self.place(now, no);
+        }
+    }
+
+    /// Places what can be placed of a job; returns how many of its tasks are left waiting.
+    pub(super) fn place(&mut self, now: Time, no: u64) -> u32 {
+        let Some(job) = self.jobs.get(&no) else {
+            return 0;
+        };
+        let mut left = 0;
+        for step in 0..job.new.steps.len() {
+            left += self.place_step(now, no, step);
+        }
+        left
+    }
+
+    fn place_step(&mut self, now: Time, no: u64, step: usize) -> u32 {
+        let Some(job) = self.jobs.get(&no) else {
+            return 0;
+        };
+        if !job.is_ready(step) {
+            return 0;
+        }
+        let waits = |t: &super::job::Task| {
+            t.step == step && matches!(t.state, TaskState::Waiting(at) if at <= now)
+        };
+        let rows = job.tasks.iter().enumerate();
+        let due: Vec<usize> = rows.filter(|(_, t)| waits(t)).map(|(i, _)| i).collect();
+        if due.is_empty() {
+            return 0;
+        }
+        let (places, left) = self.choose_places(now, no, step, &due);
+        let started = self.jobs.get(&no).is_some_and(|j| j.started.is_some());
+        // A job that would have to wait for a fast upstream with a part of it is not begun.
+        let begun = started || left.waits == 0;
+        if places.is_empty() || !begun {
+            return left.waits + left.full;
+        }
+        self.send(now, no, step, places, left.waits + left.full);
+        left.waits + left.full
+    }
+
+    /// Chooses upstreams for tasks of a step.
+    fn choose_places(
+        &mut self,
+        now: Time,
+        no: u64,
+        step: usize,
+        due: &[usize],
+    ) -> (Vec<Place>, Left) {
+        let mut left = Left::default();
+        let Some(job) = self.jobs.get(&no) else {
+            return (Vec::new(), left);
+        };
+        let row = &job.new.steps[step];
+        let service = job.new.route.service.as_str();
+        let mut links = Vec::new();
+        let mut offers: Vec<Offer> = Vec::new();
+        let mut names: Vec<Name> = Vec::new();
+        let mut parts: Vec<f64> = Vec::new();
+        for (&link, upstream) in &self.links {
+            let (Some((state, _)), true) = (&upstream.state, upstream.does(service)) else {
+                continue;
+            };
+            if row
+                .label
+                .as_ref()
+                .is_some_and(|l| !state.labels.contains(l))
+            {
+                continue;
+            }
+            let Some(profile) = self.profiles.get(&upstream.name) else {
+                continue;
+            };
+            let free = upstream.free();
+            let mut room = free.times(&row.demand);
+            if let Some(limit) = profile.health.limit(now) {
+                room = room.min(u64::from(limit.saturating_sub(upstream.runs)));
+            }
+            if let Some(spread) = row.spread {
+                let here = |t: &&super::job::Task| {
+                    t.step == step
+                        && matches!(t.state, TaskState::Sent { link: l, .. } | TaskState::Stopping(l) if l == link)
+                };
+                let there = job.tasks.iter().filter(here).count() as u64;
+                room = room.min(u64::from(spread).saturating_sub(there));
+            }
+            let mut run = profile.speed.run(row.size);
+            if row.rack.as_ref().is_some_and(|r| !state.labels.contains(r)) {
+                run = Micros((run.0 as f64 * FAR_FACTOR) as u64);
+            }
+            let all = state.capacity.cpu.max(1) as f64;
+            links.push(link);
+            names.push(upstream.name.clone());
+            parts.push(row.demand.cpu as f64 / all);
+            offers.push(Offer {
+                run,
+                room,
+                free: free.cpu as f64 / all,
+            });
+        }
+        let wish = Wish {
+            now,
+            objective: job.objective,
+            deadline: job.new.deadline,
+            started: job.started.is_some(),
+        };
+        let mut places: Vec<Place> = Vec::new();
+        for &task in due {
+            let avoid = job.tasks[task].avoid.clone();
+            let mut seen = offers.clone();
+            if let Some(avoid) = &avoid {
+                let others = (0..seen.len()).any(|i| names[i] != *avoid && seen[i].room > 0);
+                let own = (0..seen.len()).find(|&i| names[i] == *avoid);
+                if let (true, Some(own)) = (others, own) {
+                    seen[own].room = 0;
+                }
+            }
+            let random = &mut self.random;
+            match choose(&seen, &wish, || random.f64()) {
+                Choice::Take(place) => {
+                    offers[place].room -= 1;
+                    offers[place].free -= parts[place];
+                    let link = links[place];
+                    match places.iter_mut().find(|p| p.link == link) {
+                        Some(found) => found.tasks.push(task),
+                        None => places.push(Place {
+                            link,
+                            name: names[place].clone(),
+                            tasks: vec![task],
+                        }),
+                    }
+                }
+                Choice::Wait => left.waits += 1,
+                Choice::Full => left.full += 1,
+            }
+        }
+        (places, left)
+    }
+
+    /// Sends chosen tasks to their upstreams.
+    fn send(&mut self, now: Time, no: u64, step: usize, places: Vec<Place>, waiting: u32) {
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let demand = job.new.steps[step].demand;
+        let mut age = Micros::default();
+        let mut shown = Vec::with_capacity(places.len());
+        for place in places {
+            let Some(upstream) = self.links.get_mut(&place.link) else {
+                continue;
+            };
+            let mut runs: Vec<RunKey> = Vec::with_capacity(place.tasks.len());
+            let mut took = Resources::default();
+            for task in place.tasks {
+                let row = &mut job.tasks[task];
+                row.attempt += 1;
+                row.state = TaskState::Sent {
+                    link: place.link,
+                    at: now,
+                };
+                row.progress = (0, Time::default());
+                took = took.plus(&demand);
+                let run = job.run(task);
+                self.runs.insert(run, (no, task));
+                runs.push(run);
+            }
+            job.starts += runs.len() as u32;
+            if let Some((_, at)) = &upstream.state {
+                age = age.max(now.since(*at));
+            }
+            shown.push((place.name, runs.len() as u32));
+            let number = upstream.sent(took, runs.len() as u32);
+            let message = PlannerMessage::Start(StartRuns {
+                number,
+                service: job.new.route.service.clone(),
+                spec: job.new.spec.clone(),
+                demand,
+                runs,
+            });
+            self.steps.push(PlannerStep::Send {
+                link: place.link,
+                message,
+            });
+        }
+        job.started.get_or_insert(now);
+        let event = PlannerEvent::Placed {
+            job: job.new.id,
+            places: shown,
+            wait: now.since(job.arrived),
+            age,
+            waiting,
+        };
+        self.steps.push(PlannerStep::Log(event));
+    }
+
+    /// Ends a job that is done, or that can no longer be served.
+    pub(super) fn settle(&mut self, now: Time, no: u64) {
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        if job.is_done() {
+            self.finish(now, no, JobAnswer::Completed);
+            return;
+        }
+        let service = job.new.route.service.as_str();
+        if job.started.is_none() && now >= job.hold {
+            let known = self.links.values().any(|u| u.does(service));
+            let why = if known {
+                Refusal::Overload
+            } else {
+                Refusal::Unreachable
+            };
+            self.give_up(now, no, why);
+            return;
+        }
+        if now >= job.new.deadline || self.is_hopeless(now, job) {
+            self.give_up(now, no, Refusal::Overload);
+        }
+    }
+
+    /// Returns whether a task that is yet to be started cannot end before the caller leaves.
+    fn is_hopeless(&self, now: Time, job: &Job) -> bool {
+        if job.started.is_none() {
+            return false;
+        }
+        let service = job.new.route.service.as_str();
+        let speeds = self.links.values().filter(|u| u.does(service));
+        let speeds = speeds.filter_map(|u| self.profiles.get(&u.name));
+        let best = speeds.map(|p| p.speed.value()).fold(1.0, f64::max);
+        let late = |t: &super::job::Task| {
+            let TaskState::Waiting(at) = t.state else {
+                return false;
+            };
+            let size = job.new.steps[t.step].size;
+            let run = Micros((size.0 as f64 / best) as u64);
+            now.max(at) + run > job.new.deadline
+        };
+        job.tasks.iter().any(late)
+    }
+
+    /// Answers a job that is not served: refused when nothing of it was started.
+    fn give_up(&mut self, now: Time, no: u64, why: Refusal) {
+        let started = self.jobs.get(&no).is_some_and(|j| j.started.is_some());
+        let answer = if started {
+            JobAnswer::GaveUp
+        } else {
+            JobAnswer::Refused(why)
+        };
+        self.finish(now, no, answer);
+    }
+
+    /// Answers a job and forgets it.
+    pub(super) fn finish(&mut self, now: Time, no: u64, answer: JobAnswer) {
+        let Some(job) = self.jobs.get(&no) else {
+            return;
+        };
+        let event = PlannerEvent::Answered {
+            job: job.new.id,
+            route: job.new.route.name.clone(),
+            version: job.new.version,
+            answer,
+            span: now.since(job.arrived),
+            wait: job.started.map(|at| at.since(job.arrived)),
+            starts: job.starts,
+            met: answer == JobAnswer::Completed && now <= job.objective,
+        };
+        for &caller in &job.callers {
+            self.steps.push(PlannerStep::Answer {
+                caller,
+                job: job.new.id,
+                answer,
+                comeback: self.settings.comeback,
+            });
+        }
+        self.steps.push(PlannerStep::Log(event));
+        self.remove(no);
+    }
+
+    /// Forgets a job and stops what runs of it.
+    pub(super) fn remove(&mut self, no: u64) {
+        let Some(job) = self.jobs.remove(&no) else {
+            return;
+        };
+        self.ids.remove(&job.new.id);
+        let mut stops: Vec<(LinkNo, Vec<RunKey>)> = Vec::new();
+        for (run, link) in job.live() {
+            self.runs.remove(&run);
+            match stops.iter_mut().find(|(l, _)| *l == link) {
+                Some((_, runs)) => runs.push(run),
+                None => stops.push((link, vec![run])),
+            }
+        }
+        for (link, runs) in stops {
+            let message = PlannerMessage::Stop(runs);
+            self.steps.push(PlannerStep::Send { link, message });
+        }
+    }
+
+    /// Forgets a link; its runs count as gone at a point in time.
+    pub(super) fn lose(&mut self, now: Time, link: LinkNo, gone: Time) {
+        let Some(upstream) = self.links.remove(&link) else {
+            return;
+        };
+        let mut lost: Vec<(RunKey, u64, usize)> = Vec::new();
+        for (&no, job) in &self.jobs {
+            let here = job.live().filter(|(_, l)| *l == link);
+            let rows = here.filter_map(|(run, _)| Some((run, no, self.runs.get(&run)?.1)));
+            lost.extend(rows);
+        }
+        let event = PlannerEvent::LinkDown {
+            runner: upstream.name.clone(),
+            silence: now.since(upstream.heard),
+            runs: lost.len() as u32,
+        };
+        self.steps.push(PlannerStep::Log(event));
+        for (run, no, place) in lost {
+            self.steps.push(PlannerStep::Log(PlannerEvent::RunLost {
+                run,
+                runner: Some(upstream.name.clone()),
+                cause: LossCause::Link,
+            }));
+            self.runs.remove(&run);
+            if let Some(job) = self.jobs.get_mut(&no) {
+                job.touched = true;
+                job.tasks[place].state = TaskState::Waiting(gone);
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Closes links on which nothing is heard.
+    fn drop_silent(&mut self, now: Time) {
+        let silent = |u: &super::upstream::Upstream| now.since(u.heard) > LINK_SILENCE;
+        let rows = self.links.iter().filter(|(_, u)| silent(u));
+        let closed: Vec<(LinkNo, Time)> = rows.map(|(&l, u)| (l, u.heard)).collect();
+        for (link, heard) in closed {
+            self.lose(now, link, heard + LINK_SILENCE + RUN_GONE);
+            self.steps.push(PlannerStep::Close(link));
+        }
+    }
+
+    pub(super) fn send_beats(&mut self) {
+        let links: Vec<LinkNo> = self.links.keys().copied().collect();
+        for link in links {
+            self.send_beat(link);
+        }
+    }
+
+    pub(super) fn send_beat(&mut self, link: LinkNo) {
+        let Some(upstream) = self.links.get_mut(&link) else {
+            return;
+        };
+        if let Some(profile) = self.profiles.get_mut(&upstream.name) {
+            profile.seen = upstream.heard;
+        }
+        let newer = |c: &&chervilring_wire::ConfigCopy| c.version > upstream.version;
+        let config = self.config.as_ref().filter(newer).cloned();
+        if let Some(config) = &config {
+            upstream.version = config.version;
+        }
+        let message = PlannerMessage::Beat {
+            echo: upstream.echo,
+            config,
+        };
+        self.steps.push(PlannerStep::Send { link, message });
+    }
+}
+
+/// Tasks that were not placed.
+#[derive(Debug, Default, Clone, Copy)]
+struct Left {
+    /// For which there is no room.
+    full: u32,
+    /// That do better to wait for a faster upstream.
+    waits: u32,
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -0,0 +1,55 @@
+//! The links of a runner to planners.
+
+use std::collections::VecDeque;
+
+use chervilring_wire::{Micros, Time, UpstreamState};
+
+use crate::runs::bounds::LINK_SILENCE;
+
+/// How long a new link may be without an answered heartbeat.
+const FIRST_SILENCE: Micros = Micros::from_secs(2);
+
+/// A link to a planner.
+#[derive(Debug)]
+pub(super) struct Link {
+    /// Whether the hello was sent.
+    pub(super) greeted: bool,
+    /// The number of the newest heartbeat sent.
+    pub(super) beat: u64,
+    /// The heartbeats that are not answered, with when they were sent.
+    pub(super) open: VecDeque<(u64, Time)>,
+    /// Until when the link counts as alive.
+    pub(super) alive: Time,
+    /// The newest message of starts that was taken in.
+    pub(super) number: u64,
+    /// The state that was last told.
+    pub(super) told: Option<UpstreamState>,
+}
+
+impl Link {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            greeted: false,
+            beat: 0,
+            open: VecDeque::new(),
+            alive: now + FIRST_SILENCE,
+            number: 0,
+            told: None,
+        }
+    }
+
+    /// Takes in that the planner has heard a heartbeat: the link is alive since that was sent.
+    pub(super) fn answered(&mut self, echo: u64) {
+        while let Some(&(number, sent)) = self.open.front() {
+            if number > echo {
+                return;
+            }
+            self.open.pop_front();
+            self.alive = self.alive.max(sent + LINK_SILENCE);
+            if number == echo {
+                // The grace of a new link ends with its first answer.
+                self.alive = sent + LINK_SILENCE;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -0,0 +1,132 @@
+//! What the upstream's own lists of runs mean for the ledger: they are the truth.
+
+use chervilring_wire::{Micros, RunEnd, RunKey, RunnerMessage, Time};
+
+use super::call::{CallOutcome, Lists, Refused};
+use super::event::RunnerEvent;
+use super::state::{RunState, Runner, RunnerStep};
+use crate::runs::planner::LinkNo;
+
+/// How soon the upstream is asked again after a call that got no answer.
+const RETRY: Micros = Micros::from_millis(20);
+
+/// How often planners are told how far runs have got.
+const PROGRESS: Micros = Micros::from_millis(200);
+
+/// Runs that are shorter are not told of.
+const SHORT: Micros = Micros::from_millis(250);
+
+impl Runner {
+    /// Takes in the answer to a call for the lists.
+    pub(super) fn hold_answered(&mut self, now: Time, sent: Time, outcome: CallOutcome) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        worker.held = false;
+        match outcome {
+            CallOutcome::Listed(lists) if lists.born >= worker.report.life.born => {
+                if lists.born > worker.report.life.born {
+                    self.reborn(now, lists.born);
+                    return;
+                }
+                worker.answers = true;
+                worker.lapsed = false;
+                self.take_lists(now, sent, &lists);
+            }
+            CallOutcome::Refused {
+                why: Refused::Fence,
+                ..
+            } => self.raise_fence(),
+            CallOutcome::Refused {
+                why: Refused::OtherLife,
+                ..
+            } => {
+                worker.answers = false;
+                worker.retry = now + RETRY;
+            }
+            _ => {
+                worker.answers = false;
+                worker.retry = now + RETRY;
+                self.log_no_answer(None, "hold");
+            }
+        }
+    }
+
+    /// Takes in that the upstream has begun a new life under the same id.
+    fn reborn(&mut self, now: Time, born: u64) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let mut report = worker.report.clone();
+        report.life.born = born;
+        report.sequence = 0;
+        report.clock = None;
+        self.reported(now, report);
+    }
+
+    fn take_lists(&mut self, now: Time, sent: Time, lists: &Lists) {
+        for row in &lists.ended {
+            if let Some(worker) = &mut self.worker {
+                worker.acked = worker.acked.max(row.number);
+            }
+            self.end(now, row.run, row.end);
+        }
+        let mut foreign = false;
+        for row in &lists.active {
+            if self.runs.contains_key(&row.run) {
+                continue;
+            }
+            foreign = true;
+            self.steps
+                .push(RunnerStep::Log(RunnerEvent::Foreign { run: row.run }));
+            self.call_stop(row.run);
+        }
+        if !lists.more {
+            self.end_missing(now, sent, lists);
+        }
+        if let Some(worker) = &mut self.worker {
+            // A first list with foreign runs leaves it unknown what is free.
+            worker.known = worker.known || !(foreign || lists.more);
+        }
+        self.tell_progress(now, lists);
+    }
+
+    /// Ends runs that the upstream neither runs nor lists as ended, though it was asked after it
+    /// had answered their start or stop.
+    fn end_missing(&mut self, now: Time, sent: Time, lists: &Lists) {
+        let active = |run: &RunKey| lists.active.iter().any(|row| row.run == *run);
+        let missing = |state: RunState| match state {
+            RunState::Running(since) if since < sent => Some(RunEnd::Lapsed),
+            RunState::Stopped(since) if since < sent => Some(RunEnd::Stopped),
+            _ => None,
+        };
+        let rows = self.runs.iter().filter(|(run, _)| !active(run));
+        let gone: Vec<(RunKey, RunEnd)> = rows
+            .filter_map(|(run, row)| Some((*run, missing(row.state)?)))
+            .collect();
+        for (run, end) in gone {
+            self.end(now, run, end);
+        }
+    }
+
+    fn tell_progress(&mut self, now: Time, lists: &Lists) {
+        if now < self.report {
+            return;
+        }
+        self.report = now + PROGRESS;
+        let links: Vec<LinkNo> = self.links.keys().copied().collect();
+        for link in links {
+            let row = |r: &super::call::ListedRun| {
+                let run = self.runs.get(&r.run)?;
+                let long = run.link == Some(link) && now.since(run.taken) >= SHORT;
+                long.then_some((r.run, r.percent))
+            };
+            let rows: Vec<(RunKey, u8)> = lists.active.iter().filter_map(row).collect();
+            if rows.is_empty() {
+                continue;
+            }
+            let message = RunnerMessage::Progress(rows);
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -0,0 +1,16 @@
+//! The decisions of a runner: the last word on an upstream's capacity, its lease, and what runs.
+
+mod call;
+mod event;
+mod lease;
+mod links;
+mod lists;
+mod state;
+mod systems;
+mod worker;
+
+pub use call::{CallOutcome, ListedEnd, ListedRun, Lists, Refused, WorkerCall, WorkerLife};
+pub use event::RunnerEvent;
+pub use lease::Lease;
+pub use state::{Runner, RunnerStep};
+pub use worker::{Report, WorkerState};
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -0,0 +1,450 @@
+//! The tables of a runner and what comes in.
+
+use std::collections::BTreeMap;
+
+use chervilring_wire::{
+    ConfigCopy, DomainName, Micros, Name, PlannerMessage, RefuseReason, Resources, RunEnd, RunKey,
+    RunnerMessage, StartRuns, Time,
+};
+
+use super::call::{CallOutcome, Refused, WorkerCall};
+use super::event::RunnerEvent;
+use super::links::Link;
+use super::worker::{Report, Worker, WorkerState};
+use crate::runs::bounds::BEAT;
+use crate::runs::planner::LinkNo;
+
+/// What is to be carried out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RunnerStep {
+    /// A message is to be sent.
+    Send {
+        /// The link to the planner.
+        link: LinkNo,
+        /// The message.
+        message: RunnerMessage,
+    },
+    /// A link is to be closed.
+    Close(LinkNo),
+    /// The upstream is to be called; the outcome is told by [`Runner::called`].
+    Call(WorkerCall),
+    /// Something is to be logged.
+    Log(RunnerEvent),
+    /// The runner has nothing left to do and the process may end.
+    Left,
+}
+
+/// How far a run has got, as the runner knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunState {
+    /// The upstream is being asked to start it.
+    Starting,
+    /// The upstream runs it since this time or a little earlier.
+    Running(Time),
+    /// The upstream is being asked to stop it.
+    Stopping,
+    /// The upstream was told to stop it at this time; its end is not listed yet.
+    Stopped(Time),
+}
+
+/// A run.
+#[derive(Debug, Clone)]
+pub(super) struct Run {
+    /// The link of the planner that asked for it; none when that is lost or was told its end.
+    pub(super) link: Option<LinkNo>,
+    pub(super) demand: Resources,
+    pub(super) spec: Name,
+    pub(super) state: RunState,
+    /// Whether it is to be stopped as soon as the start under way is answered.
+    pub(super) doomed: bool,
+    /// When it was taken on.
+    pub(super) taken: Time,
+}
+
+/// The decisions of a runner.
+#[derive(Debug)]
+pub struct Runner {
+    pub(super) name: Name,
+    pub(super) domain: DomainName,
+    /// The longest lease that upstreams accept.
+    pub(super) lease: Micros,
+    pub(super) fence: u64,
+    pub(super) worker: Option<Worker>,
+    pub(super) runs: BTreeMap<RunKey, Run>,
+    pub(super) links: BTreeMap<LinkNo, Link>,
+    pub(super) steps: Vec<RunnerStep>,
+    pub(super) config: Option<ConfigCopy>,
+    pub(super) beat: Time,
+    /// When progress is told next.
+    pub(super) report: Time,
+    /// Until when work in flight is waited for, once the runner leaves.
+    pub(super) leaving: Option<Time>,
+    pub(super) open: bool,
+}
+
+impl Runner {
+    /// Creates a runner. `fence` must be above that of the runner's earlier lives; if it is not,
+    /// the upstream says so and it is raised.
+    pub fn new(name: Name, domain: DomainName, lease: Micros, fence: u64, now: Time) -> Self {
+        Self {
+            name,
+            domain,
+            lease,
+            fence,
+            worker: None,
+            runs: BTreeMap::new(),
+            links: BTreeMap::new(),
+            steps: Vec::new(),
+            config: None,
+            beat: now + BEAT,
+            report: now,
+            leaving: None,
+            open: false,
+        }
+    }
+
+    /// Takes in a report of the upstream; returns whether it is in force. Late ones of an earlier
+    /// life are not.
+    pub fn reported(&mut self, now: Time, report: Report) -> bool {
+        let Some(worker) = &mut self.worker else {
+            self.begin_life(now, report);
+            return true;
+        };
+        let life = &worker.report.life;
+        if report.life.born < life.born {
+            return false;
+        }
+        if report.life != *life {
+            self.end_life(now);
+            self.begin_life(now, report);
+            return true;
+        }
+        if report.sequence <= worker.report.sequence {
+            return true;
+        }
+        if let Some(clock) = report.clock {
+            worker.lease.read(now, clock);
+        }
+        worker.report = report;
+        self.tick(now);
+        true
+    }
+
+    /// Takes in that the upstream ends; `id` is the one that it has announced.
+    pub fn left(&mut self, now: Time, id: &str) {
+        if let Some(worker) = self.worker.as_mut().filter(|w| &*w.report.life.id == id) {
+            worker.left = true;
+        }
+        self.tick(now);
+    }
+
+    /// Takes in a new link to a planner.
+    pub fn link_up(&mut self, now: Time, link: LinkNo) {
+        self.links.insert(link, Link::new(now));
+        self.tick(now);
+    }
+
+    /// Takes in that a link has ended.
+    pub fn link_down(&mut self, now: Time, link: LinkNo) {
+        self.lose(now, link, "closed");
+        self.tick(now);
+    }
+
+    /// Takes in a message of a planner.
+    pub fn message(&mut self, now: Time, link: LinkNo, message: PlannerMessage) {
+        match message {
+            PlannerMessage::Beat { echo, config } => {
+                if let Some(row) = self.links.get_mut(&link) {
+                    row.answered(echo);
+                }
+                let newest = self.config.as_ref().map_or(0, |c| c.version);
+                if let Some(config) = config.filter(|c| c.version > newest) {
+                    self.config = Some(config);
+                }
+            }
+            PlannerMessage::Start(start) => self.start(now, link, start),
+            PlannerMessage::Stop(runs) => {
+                for run in runs {
+                    self.stop(run);
+                }
+            }
+        }
+    }
+
+    /// Takes in what became of a call that was made at `sent`.
+    pub fn called(&mut self, now: Time, sent: Time, call: &WorkerCall, outcome: CallOutcome) {
+        let current = self.worker.as_ref().map(|w| &w.report.life);
+        if current != Some(call.life()) {
+            return;
+        }
+        self.read_clock(now, &outcome);
+        match call {
+            WorkerCall::Start { run, .. } => self.start_answered(now, *run, &outcome),
+            WorkerCall::Stop { run, .. } => self.stop_answered(now, *run, &outcome),
+            WorkerCall::Hold { .. } => self.hold_answered(now, sent, outcome),
+        }
+    }
+
+    /// Begins a planned stop that waits for work in flight until a point in time.
+    pub fn leave(&mut self, now: Time, until: Time) {
+        self.leaving.get_or_insert(until);
+        self.tick(now);
+    }
+
+    /// Returns the steps to carry out, in order.
+    pub fn drain(&mut self) -> Vec<RunnerStep> {
+        std::mem::take(&mut self.steps)
+    }
+
+    /// Returns how many runs are in hand.
+    pub fn runs(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns how many planners are linked.
+    pub fn planners(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Returns whether new runs are taken.
+    pub fn is_open(&self) -> bool {
+        self.leaving.is_none() && self.worker.as_ref().is_some_and(Worker::is_open)
+    }
+
+    /// Returns what is free, if the upstream is known.
+    pub(super) fn free(&self) -> Resources {
+        let Some(worker) = &self.worker else {
+            return Resources::default();
+        };
+        let all = worker.report.capacity;
+        let less = |free: Resources, run: &Run| free.minus(&run.demand);
+        self.runs.values().fold(all, less)
+    }
+
+    fn begin_life(&mut self, now: Time, report: Report) {
+        let event = RunnerEvent::WorkerUp {
+            id: report.life.id.clone(),
+            born: report.life.born,
+            capacity: report.capacity,
+        };
+        self.steps.push(RunnerStep::Log(event));
+        let clock = report.clock;
+        let mut worker = Worker::new(report);
+        if let Some(clock) = clock {
+            worker.lease.read(now, clock);
+        }
+        self.worker = Some(worker);
+        self.tick(now);
+    }
+
+    /// Ends all runs of a life of the upstream that is over.
+    pub(super) fn end_life(&mut self, now: Time) {
+        let runs: Vec<RunKey> = self.runs.keys().copied().collect();
+        for run in runs {
+            self.end(now, run, RunEnd::Lapsed);
+        }
+        self.worker = None;
+    }
+
+    /// Takes on or refuses runs.
+    fn start(&mut self, now: Time, link: LinkNo, start: StartRuns) {
+        let Some(row) = self.links.get_mut(&link).filter(|l| l.greeted) else {
+            return;
+        };
+        row.number = start.number;
+        let mut free = self.free();
+        let first = start.runs.first().copied();
+        let before = free;
+        let mut taken = 0;
+        for run in start.runs {
+            if let Some(reason) = self.refusal(&start.service, &run, &free, &start.demand) {
+                let event = RunnerEvent::Refused { run, reason, free };
+                self.steps.push(RunnerStep::Log(event));
+                let message = RunnerMessage::Refused { run, reason };
+                self.steps.push(RunnerStep::Send { link, message });
+                continue;
+            }
+            free = free.minus(&start.demand);
+            taken += 1;
+            let row = Run {
+                link: Some(link),
+                demand: start.demand,
+                spec: start.spec.clone(),
+                state: RunState::Starting,
+                doomed: false,
+                taken: now,
+            };
+            self.runs.insert(run, row);
+            self.call_start(now, run);
+        }
+        if let (Some(run), true) = (first, taken > 0) {
+            let event = RunnerEvent::Taken {
+                run,
+                runs: taken,
+                free: before,
+            };
+            self.steps.push(RunnerStep::Log(event));
+        }
+    }
+
+    /// Returns why a run is not taken on, if it is not.
+    fn refusal(
+        &self,
+        service: &chervilring_wire::ServiceName,
+        run: &RunKey,
+        free: &Resources,
+        demand: &Resources,
+    ) -> Option<RefuseReason> {
+        let same = |w: &&Worker| w.report.service == *service;
+        if !self.is_open() || self.worker.as_ref().filter(same).is_none() {
+            return Some(RefuseReason::Closed);
+        }
+        // Another run of the same task is still here, for another planner or being stopped.
+        let twin = |r: &RunKey| {
+            (r.job, r.occurrence, r.step, r.index) == (run.job, run.occurrence, run.step, run.index)
+        };
+        if self.runs.keys().any(twin) || !free.holds(demand) {
+            return Some(RefuseReason::Room);
+        }
+        None
+    }
+
+    /// Has a run stopped.
+    pub(super) fn stop(&mut self, run: RunKey) {
+        let Some(row) = self.runs.get_mut(&run) else {
+            return;
+        };
+        match row.state {
+            RunState::Starting => row.doomed = true,
+            RunState::Running(_) => {
+                row.state = RunState::Stopping;
+                self.call_stop(run);
+            }
+            RunState::Stopping | RunState::Stopped(_) => {}
+        }
+    }
+
+    fn start_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
+        let Some(row) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if row.state != RunState::Starting {
+            return;
+        }
+        match outcome {
+            CallOutcome::Done { .. } | CallOutcome::Listed(_) => {
+                row.state = RunState::Running(now);
+                if row.doomed {
+                    self.stop(run);
+                }
+            }
+            CallOutcome::Refused { why, .. } => self.start_refused(now, run, *why),
+            CallOutcome::Lost => {
+                self.log_no_answer(Some(run), "start");
+                let drains = self
+                    .worker
+                    .as_ref()
+                    .is_none_or(|w| w.report.state == WorkerState::Draining);
+                if row_doomed(&self.runs, &run) || drains {
+                    self.set_state(run, RunState::Stopping);
+                    self.call_stop(run);
+                } else {
+                    self.call_start(now, run);
+                }
+            }
+        }
+    }
+
+    fn start_refused(&mut self, now: Time, run: RunKey, why: Refused) {
+        let doomed = row_doomed(&self.runs, &run);
+        match why {
+            Refused::Fence => {
+                self.raise_fence();
+                if !doomed {
+                    self.call_start(now, run);
+                    return;
+                }
+            }
+            Refused::Late if !doomed => {
+                self.call_start(now, run);
+                return;
+            }
+            _ => {}
+        }
+        self.steps
+            .push(RunnerStep::Log(RunnerEvent::NotStarted { run, why }));
+        let reason = match why {
+            Refused::Old => RefuseReason::Old,
+            Refused::Invalid => RefuseReason::Invalid,
+            Refused::Unhealthy => RefuseReason::Unhealthy,
+            Refused::Room => RefuseReason::Room,
+            Refused::OtherLife => RefuseReason::Closed,
+            Refused::Fence | Refused::Late => RefuseReason::Stopped,
+        };
+        let Some(row) = self.runs.remove(&run) else {
+            return;
+        };
+        if let Some(link) = row.link {
+            let message = RunnerMessage::Refused { run, reason };
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    fn stop_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
+        let stopping = self
+            .runs
+            .get(&run)
+            .is_some_and(|r| r.state == RunState::Stopping);
+        if !stopping {
+            return;
+        }
+        match outcome {
+            CallOutcome::Lost => {
+                self.log_no_answer(Some(run), "stop");
+                self.call_stop(run);
+            }
+            CallOutcome::Refused {
+                why: Refused::Fence,
+                ..
+            } => {
+                self.raise_fence();
+                self.call_stop(run);
+            }
+            CallOutcome::Refused {
+                why: Refused::Unhealthy,
+                ..
+            } => self.call_stop(run),
+            // Whether it ran to its end before is told by the next lists.
+            _ => self.set_state(run, RunState::Stopped(now)),
+        }
+    }
+
+    pub(super) fn set_state(&mut self, run: RunKey, state: RunState) {
+        if let Some(row) = self.runs.get_mut(&run) {
+            row.state = state;
+        }
+    }
+
+    /// Tells the planner that a run has ended and gives its resources back.
+    pub(super) fn end(&mut self, now: Time, run: RunKey, end: RunEnd) {
+        let Some(row) = self.runs.remove(&run) else {
+            return;
+        };
+        let span = now.since(row.taken);
+        self.steps
+            .push(RunnerStep::Log(RunnerEvent::Ended { run, end, span }));
+        if let Some(link) = row.link {
+            let message = RunnerMessage::Ended { run, end };
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    pub(super) fn log_no_answer(&mut self, run: Option<RunKey>, call: &'static str) {
+        let event = RunnerEvent::NoAnswer { run, call };
+        self.steps.push(RunnerStep::Log(event));
+    }
+}
+
+fn row_doomed(runs: &BTreeMap<RunKey, Run>, run: &RunKey) -> bool {
+    runs.get(run).is_some_and(|r| r.doomed)
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -0,0 +1,311 @@
+//! What a runner does over its tables: lease, heartbeats, states, links.
+
+use chervilring_wire::{Micros, RunEnd, RunKey, RunnerMessage, Time, UpstreamState};
+
+use super::call::{CallOutcome, WorkerCall};
+use super::event::RunnerEvent;
+use super::state::{RunState, Runner, RunnerStep};
+use super::worker::{Worker, WorkerState};
+use crate::runs::bounds::{BEAT, LEASE};
+use crate::runs::planner::LinkNo;
+
+/// How long the upstream may wait for an end before it answers; the lease lasts four times that.
+const WAIT: Micros = Micros::from_millis(100);
+
+/// By how much the fencing token is raised when an earlier life has had a higher one.
+const FENCE_STEP: u64 = 10_000;
+
+impl Runner {
+    /// Runs what is due.
+    pub fn tick(&mut self, now: Time) {
+        self.drop_silent(now);
+        self.check_lease(now);
+        self.greet_links();
+        if now >= self.beat {
+            self.beat = now + BEAT;
+            self.send_beats(now);
+        }
+        self.hold(now);
+        self.log_open();
+        self.tell_states();
+        self.check_leave(now);
+    }
+
+    /// Returns when something is due.
+    pub fn wake_at(&self) -> Time {
+        let mut wake = self.beat;
+        if let Some(worker) = &self.worker {
+            if !worker.held {
+                wake = wake.min(worker.retry);
+            }
+            if !worker.lapsed && !worker.answers {
+                wake = wake.min(worker.lease.over());
+            }
+        }
+        wake
+    }
+
+    /// Takes in that the process had stood still: planners have dropped its links, and the lease
+    /// has ended.
+    pub fn paused(&mut self, now: Time, span: Micros) {
+        self.steps
+            .push(RunnerStep::Log(RunnerEvent::Paused { span }));
+        let links: Vec<LinkNo> = self.links.keys().copied().collect();
+        for link in links {
+            self.lose(now, link, "paused");
+            self.steps.push(RunnerStep::Close(link));
+        }
+        self.tick(now);
+    }
+
+    /// Ends the belief in a link and stops its runs.
+    pub(super) fn lose(&mut self, _now: Time, link: LinkNo, why: &'static str) {
+        if self.links.remove(&link).is_none() {
+            return;
+        }
+        let rows = self.runs.iter_mut().filter(|(_, r)| r.link == Some(link));
+        let mut runs: Vec<RunKey> = Vec::new();
+        for (run, row) in rows {
+            row.link = None;
+            runs.push(*run);
+        }
+        let event = RunnerEvent::LinkLost {
+            link: link.0,
+            why,
+            runs: runs.len() as u32,
+        };
+        self.steps.push(RunnerStep::Log(event));
+        for run in runs {
+            self.stop(run);
+        }
+    }
+
+    pub(super) fn read_clock(&mut self, now: Time, outcome: &CallOutcome) {
+        let clock = match outcome {
+            CallOutcome::Done { clock } | CallOutcome::Refused { clock, .. } => *clock,
+            CallOutcome::Listed(lists) => Some(lists.clock),
+            CallOutcome::Lost => None,
+        };
+        if let (Some(clock), Some(worker)) = (clock, &mut self.worker) {
+            worker.lease.read(now, clock);
+        }
+    }
+
+    pub(super) fn raise_fence(&mut self) {
+        self.fence += FENCE_STEP;
+    }
+
+    pub(super) fn call_start(&mut self, now: Time, run: RunKey) {
+        let span = self.lease.min(LEASE);
+        let (Some(worker), Some(row)) = (&mut self.worker, self.runs.get(&run)) else {
+            return;
+        };
+        let Some(lease) = worker.lease.extend(now, span) else {
+            return;
+        };
+        let call = WorkerCall::Start {
+            life: worker.report.life.clone(),
+            run,
+            spec: row.spec.clone(),
+            demand: row.demand,
+            lease,
+            fence: self.fence,
+        };
+        self.steps.push(RunnerStep::Call(call));
+    }
+
+    pub(super) fn call_stop(&mut self, run: RunKey) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let call = WorkerCall::Stop {
+            life: worker.report.life.clone(),
+            run,
+            fence: self.fence,
+        };
+        self.steps.push(RunnerStep::Call(call));
+    }
+
+    /// Asks for the lists, which extends the lease of what runs.
+    fn hold(&mut self, now: Time) {
+        let span = self.lease.min(LEASE);
+        let idle = self.runs.is_empty();
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if worker.held || now < worker.retry {
+            return;
+        }
+        // What an earlier life of this runner has started is not kept alive.
+        let lease = if worker.known && !idle {
+            worker.lease.extend(now, span)
+        } else {
+            None
+        };
+        worker.held = true;
+        let wait = if worker.known {
+            WAIT
+        } else {
+            Micros::default()
+        };
+        if !worker.known {
+            worker.retry = now + WAIT;
+        }
+        let call = WorkerCall::Hold {
+            life: worker.report.life.clone(),
+            lease,
+            acked: worker.acked,
+            wait,
+            fence: self.fence,
+        };
+        self.steps.push(RunnerStep::Call(call));
+    }
+
+    /// Ends what runs on an upstream that does not answer, once its lease has surely ended.
+    fn check_lease(&mut self, now: Time) {
+        let Some(worker) = &mut self.worker else {
+            return;
+        };
+        if worker.lapsed || worker.answers || now < worker.lease.over() {
+            return;
+        }
+        worker.lapsed = true;
+        let id = worker.report.life.id.clone();
+        let told = self.runs.iter_mut().filter(|(_, r)| r.link.is_some());
+        let mut runs = 0;
+        for (&run, row) in told {
+            // It counts against the capacity until the upstream's lists tell of its end.
+            let Some(link) = row.link.take() else {
+                continue;
+            };
+            runs += 1;
+            let end = RunEnd::Lapsed;
+            let message = RunnerMessage::Ended { run, end };
+            self.steps.push(RunnerStep::Send { link, message });
+            let span = now.since(row.taken);
+            self.steps
+                .push(RunnerStep::Log(RunnerEvent::Ended { run, end, span }));
+            row.doomed = true;
+        }
+        let event = RunnerEvent::LeaseOver { id, runs };
+        self.steps.push(RunnerStep::Log(event));
+    }
+
+    /// Says hello on new links, once nothing runs for a planner that was lost.
+    fn greet_links(&mut self) {
+        if self.runs.values().any(|r| r.link.is_none()) {
+            return;
+        }
+        if self.worker.as_ref().is_some_and(|w| !w.known) {
+            return;
+        }
+        for (&link, row) in &mut self.links {
+            if row.greeted {
+                continue;
+            }
+            row.greeted = true;
+            let message = RunnerMessage::Hello {
+                name: self.name.clone(),
+                domain: self.domain.clone(),
+                config: self.config.clone(),
+            };
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    fn send_beats(&mut self, now: Time) {
+        for (&link, row) in self.links.iter_mut().filter(|(_, l)| l.greeted) {
+            row.beat += 1;
+            row.open.push_back((row.beat, now));
+            let message = RunnerMessage::Beat(row.beat);
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    /// Closes links on which no heartbeat is answered.
+    fn drop_silent(&mut self, now: Time) {
+        let rows = self
+            .links
+            .iter()
+            .filter(|(_, l)| now > l.alive && l.greeted);
+        let silent: Vec<LinkNo> = rows.map(|(&l, _)| l).collect();
+        for link in silent {
+            self.lose(now, link, "silent");
+            self.steps.push(RunnerStep::Close(link));
+        }
+    }
+
+    /// Tells planners the state of the upstream where it has changed.
+    fn tell_states(&mut self) {
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let state = UpstreamState {
+            number: 0,
+            open: self.is_open(),
+            service: worker.report.service.clone(),
+            capacity: worker.report.capacity,
+            free: self.free(),
+            labels: worker.report.labels.clone(),
+        };
+        for (&link, row) in self.links.iter_mut().filter(|(_, l)| l.greeted) {
+            let mut state = state.clone();
+            state.number = row.number;
+            if row.told.as_ref() == Some(&state) {
+                continue;
+            }
+            row.told = Some(state.clone());
+            let message = RunnerMessage::State(state);
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    fn log_open(&mut self) {
+        let open = self.is_open();
+        if open == self.open {
+            return;
+        }
+        self.open = open;
+        let Some(worker) = &self.worker else {
+            return;
+        };
+        let event = RunnerEvent::WorkerOpen {
+            id: worker.report.life.id.clone(),
+            open,
+            why: why_closed(worker, self.leaving.is_some()),
+        };
+        self.steps.push(RunnerStep::Log(event));
+    }
+
+    /// Ends the process once it leaves and nothing runs, or its time is over.
+    fn check_leave(&mut self, now: Time) {
+        let Some(until) = self.leaving else {
+            return;
+        };
+        let known = |r: &super::state::Run| r.link.is_some() || r.state != RunState::Starting;
+        let busy = self.runs.values().any(known);
+        if !busy || now >= until {
+            self.steps.push(RunnerStep::Left);
+        }
+    }
+}
+
+/// Returns why an upstream takes no work, or that it does.
+fn why_closed(worker: &Worker, leaving: bool) -> &'static str {
+    if leaving {
+        return "runner leaves";
+    }
+    if worker.left {
+        return "upstream has left";
+    }
+    if worker.report.state == WorkerState::Draining {
+        return "upstream drains";
+    }
+    if !worker.answers {
+        return "upstream does not answer";
+    }
+    if !worker.known {
+        return "what runs is not known yet";
+    }
+    "ready"
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/worker.rs
@@ -0,0 +1,78 @@
+//! The upstream as a runner knows it.
+
+use chervilring_wire::{DomainName, Name, Resources, ServiceName, Time};
+
+use super::call::WorkerLife;
+use super::lease::Lease;
+
+/// Whether an upstream takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerState {
+    /// It takes work.
+    Ready,
+    /// It is leaving.
+    Draining,
+}
+
+/// What an upstream says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// The life that speaks.
+    pub life: WorkerLife,
+    /// The service that it does.
+    pub service: ServiceName,
+    /// The failure domain that it stands in.
+    pub domain: DomainName,
+    /// Whether it takes work.
+    pub state: WorkerState,
+    /// All that it has.
+    pub capacity: Resources,
+    /// Its labels; its rack is one of them.
+    pub labels: Vec<Name>,
+    /// Grows with each report of one life.
+    pub sequence: u64,
+    /// Its clock in milliseconds, if it told.
+    pub clock: Option<u64>,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub(super) report: Report,
+    pub(super) lease: Lease,
+    /// The newest end that was taken in.
+    pub(super) acked: u64,
+    /// Whether its lists have been read in this life, so that all that runs is known.
+    pub(super) known: bool,
+    /// Whether it has answered its newest call for the lists.
+    pub(super) answers: bool,
+    /// Whether a call for the lists is under way.
+    pub(super) held: bool,
+    /// When to ask for the lists again after a call that got no answer.
+    pub(super) retry: Time,
+    /// Whether all that ran was reported as lapsed since it last answered.
+    pub(super) lapsed: bool,
+    /// Whether it has said that it ends.
+    pub(super) left: bool,
+}
+
+impl Worker {
+    pub(super) fn new(report: Report) -> Self {
+        Self {
+            report,
+            lease: Lease::default(),
+            acked: 0,
+            known: false,
+            answers: false,
+            held: false,
+            retry: Time::default(),
+            lapsed: false,
+            left: false,
+        }
+    }
+
+    /// Returns whether it takes new runs.
+    pub(super) fn is_open(&self) -> bool {
+        self.known && self.answers && !self.left && self.report.state == WorkerState::Ready
+    }
+}
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod id;
 mod message;
 mod ring;
+mod run;
 mod submission;
 mod time;
 mod verdict;
@@ -20,6 +21,10 @@
     EntryMessage, Handover, Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
 };
 pub use ring::{Doubt, Member, OldRing, Ring, home_name};
+pub use run::{
+    ConfigCopy, JobId, PlannerMessage, RefuseReason, Resources, RunEnd, RunKey, RunnerMessage,
+    StartRuns, UpstreamState,
+};
 pub use submission::{
     Failure, Kind, Origin, Progress, Query, Reason, Reply, Submission, TaskOutcome, TaskOutput,
 };
