Daemon: planner and runner on the loop, HTTP without threads

HttpPort reads requests by httparse on the process's loop and tells at once that a peer is gone.

The resolver of IP numbers stands once now, in net::ip_client.

--- a/crates/chervilring_daemon/src/agent/announcement.rs
+++ b/crates/chervilring_daemon/src/agent/announcement.rs
@@ -9,7 +9,7 @@
 use serde_with::serde_as;
 use ureq::http::Uri;
 
-use super::call;
+use crate::net::ip_addr;
 
 /// The most slots of an upstream.
 const MAX_SLOTS: u32 = 1024;
@@ -103,7 +103,7 @@
 fn check_url(url: &str) -> Result<(), String> {
     let parsed = url.parse::<Uri>().ok();
     let good = parsed.is_some_and(|u| {
-        u.scheme_str() == Some("http") && call::address(&u).is_some() && u.query().is_none()
+        u.scheme_str() == Some("http") && ip_addr(&u).is_some() && u.query().is_none()
     });
     if good {
         return Ok(());
--- a/crates/chervilring_daemon/src/agent/call.rs
+++ b/crates/chervilring_daemon/src/agent/call.rs
@@ -1,57 +1,29 @@
 //! One call of the upstream over HTTP.
 
 use std::io::ErrorKind;
-use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
 use chervilring_core::agent::{CallEnd, UpstreamCall};
 use chervilring_wire::{Micros, Time};
 use ureq::http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, TRANSFER_ENCODING};
-use ureq::http::{HeaderMap, Response, StatusCode, Uri};
-use ureq::unversioned::resolver::{ResolvedSocketAddrs, Resolver};
-use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
+use ureq::http::{HeaderMap, Response, StatusCode};
 use ureq::{Agent, Body, Error, Timeout};
 
+use crate::net::ip_client;
+
 /// The header by which an upstream says whether a task ran.
 const VERDICT: &str = "Chervilring-Verdict";
 
 /// The media type of an answer that names none.
 const OPAQUE: &str = "application/octet-stream";
 
-/// The port of a URL that names none.
-const HTTP_PORT: u16 = 80;
-
 /// How long a kept connection may be idle.
 const MAX_IDLE: Duration = Duration::from_mins(1);
 
 /// How long a connection may take to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Reads the address out of a URL; the library's own resolver starts a thread for each call.
-#[derive(Debug)]
-struct IpNumbers;
-
-impl Resolver for IpNumbers {
-    fn resolve(
-        &self,
-        uri: &Uri,
-        _config: &ureq::config::Config,
-        _timeout: NextTimeout,
-    ) -> Result<ResolvedSocketAddrs, Error> {
-        let mut addrs = self.empty();
-        addrs.push(address(uri).ok_or(Error::HostNotFound)?);
-        Ok(addrs)
-    }
-}
-
-/// Returns the address that a URL gives by an IP number.
-pub(super) fn address(uri: &Uri) -> Option<SocketAddr> {
-    let host = uri.host()?.trim_start_matches('[').trim_end_matches(']');
-    let ip: IpAddr = host.parse().ok()?;
-    Some(SocketAddr::new(ip, uri.port_u16().unwrap_or(HTTP_PORT)))
-}
-
 /// Creates a client that keeps one connection.
 pub(super) fn client() -> Agent {
     let config = Agent::config_builder()
@@ -64,7 +36,7 @@
         .max_idle_age(MAX_IDLE)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .build();
-    Agent::with_parts(config, DefaultConnector::default(), IpNumbers)
+    ip_client(config)
 }
 
 /// Has the upstream run a task and returns how that ended; an answer may have `limit` bytes.
--- a/crates/chervilring_daemon/src/http/mod.rs
+++ b/crates/chervilring_daemon/src/http/mod.rs
@@ -19,7 +19,7 @@
 mod health;
 mod job;
 mod kicker;
-mod pool;
+pub(crate) mod pool;
 mod problem;
 mod request;
 mod route;
--- a/crates/chervilring_daemon/src/http/pool.rs
+++ b/crates/chervilring_daemon/src/http/pool.rs
@@ -15,7 +15,7 @@
 
 /// Threads that run jobs in order of arrival. Their number grows while jobs block.
 #[derive(Clone)]
-pub(super) struct Pool {
+pub(crate) struct Pool {
     shared: Arc<Shared>,
 }
 
@@ -36,7 +36,7 @@
 
 impl Pool {
     /// Creates a pool of up to `base` threads while none blocks, and at most `most`.
-    pub(super) fn new(name: &'static str, base: usize, most: usize) -> Self {
+    pub(crate) fn new(name: &'static str, base: usize, most: usize) -> Self {
         let state = State {
             jobs: VecDeque::new(),
             threads: 0,
@@ -56,7 +56,7 @@
     }
 
     /// Runs a job that is not expected to block.
-    pub(super) fn run(&self, job: impl FnOnce() + Send + 'static) {
+    pub(crate) fn run(&self, job: impl FnOnce() + Send + 'static) {
         let mut state = self.shared.lock();
         state.jobs.push_back(Box::new(job));
         let few = state.threads < self.shared.base;
@@ -70,7 +70,7 @@
     }
 
     /// Runs a job that may block for long: a thread is started unless one is idle.
-    pub(super) fn run_slow(&self, job: impl FnOnce() + Send + 'static) {
+    pub(crate) fn run_slow(&self, job: impl FnOnce() + Send + 'static) {
         let mut state = self.shared.lock();
         state.jobs.push_back(Box::new(job));
         if state.idle >= state.jobs.len() || state.threads >= self.shared.most {
--- a/crates/chervilring_daemon/src/lib.rs
+++ b/crates/chervilring_daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod log;
 pub mod metrics;
 pub mod net;
+pub mod runs;
 pub mod settings;
 pub mod signals;
 
--- a/crates/chervilring_daemon/src/log/mod.rs
+++ b/crates/chervilring_daemon/src/log/mod.rs
@@ -1,4 +1,4 @@
-//! Structured logs, on standard error.
+//! Structured logs, on standard error or standard output.
 
 use std::fmt;
 use std::io;
@@ -59,6 +59,13 @@
     Logger::root(drain, o!("role" => role, "name" => name.to_owned()))
 }
 
+/// Creates the logger of a process whose standard output is its log: JSON, one object a line.
+pub fn output_logger(level: Level, role: &'static str, name: &str) -> Logger {
+    let json = slog_json::Json::default(io::stdout()).fuse();
+    let drain = queued(json).filter_level(level).fuse();
+    Logger::root(drain, o!("role" => role, "name" => name.to_owned()))
+}
+
 /// Creates a logger that writes nothing.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/crates/chervilring_daemon/src/net/clock.rs
+++ b/crates/chervilring_daemon/src/net/clock.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use chervilring_wire::{Now, Stamp, Time};
+use chervilring_wire::{Micros, Now, Stamp, Time};
+use rustix::time::{ClockId, clock_gettime};
 
 /// Reads the monotonic and the wall clock.
 #[derive(Debug, Clone, Copy)]
@@ -25,6 +26,12 @@
         Time(self.origin.elapsed().as_micros() as u64)
     }
 
+    /// Returns the time since the host was started, which goes on while the host is suspended.
+    pub fn since_boot(&self) -> Micros {
+        let time = clock_gettime(ClockId::Boottime);
+        Micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000)
+    }
+
     /// Returns both times.
     pub fn now(&self) -> Now {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/chervilring_daemon/src/net/links.rs
+++ b/crates/chervilring_daemon/src/net/links.rs
@@ -19,7 +19,7 @@
 
 /// Names a link of this process; never used again after the link is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct LinkId(u64);
+pub struct LinkId(pub(crate) u64);
 
 /// Says that a link's socket is ready.
 #[derive(Debug, Clone, Copy)]
--- a/crates/chervilring_daemon/src/net/mod.rs
+++ b/crates/chervilring_daemon/src/net/mod.rs
@@ -3,7 +3,9 @@
 mod clock;
 mod datagrams;
 mod event_loop;
+mod http_port;
 mod inbox;
+mod ip_client;
 mod link;
 mod links;
 mod listener;
@@ -11,6 +13,8 @@
 pub use clock::Clock;
 pub use datagrams::Datagrams;
 pub use event_loop::EventLoop;
+pub use http_port::{ConnNo, HttpAnswer, HttpEvent, HttpPort, HttpReady, HttpRequest};
 pub use inbox::Inbox;
+pub use ip_client::{ip_addr, ip_client};
 pub use links::{LinkEvent, LinkId, LinkState, Links};
 pub use listener::Listener;
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -0,0 +1,496 @@
+//! The planner daemon: carries the decisions of a planner to sockets.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use chervilring_core::runs::planner::{Caller, LinkNo, PlannerSettings, PlannerStep};
+use chervilring_core::runs::{Planner, RouteTable};
+use chervilring_wire::{ConfigCopy, Micros, RunnerMessage, Time};
+use eyre::WrapErr;
+use slog::{Logger, info, warn};
+use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
+use stakker_mio::Ready;
+
+use super::dialect::{CallerCall, CallerDialect};
+use super::pause::PauseWatch;
+use super::planner_log;
+use super::planner_report::PlannerReport;
+use super::registry::{self, Registry, StoreEvent};
+use super::settings::{PlannerConfig, Reload};
+use crate::log;
+use crate::net::{
+    Clock, ConnNo, EventLoop, HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId,
+    LinkState, Links, Listener,
+};
+use crate::signals::{self, Asked};
+
+/// The longest span between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The largest body before the configuration says otherwise, in bytes.
+const FIRST_BODY: usize = 256 << 10;
+
+/// The largest body of a request for readiness or metrics, in bytes.
+const SMALL_BODY: usize = 1 << 10;
+
+/// How long callers may still come in after a stop was asked for: the balancer looks once a
+/// second and takes two misses to notice.
+const LINGER: Micros = Micros::from_millis(3_200);
+
+/// What of the grace period is left for answers to leave and the process to end.
+const EXIT_TIME: Micros = Micros::from_millis(900);
+
+/// Time between looks at the settings and at stale connections.
+const SWEEP: Micros = Micros::from_secs(1);
+
+/// What comes from other threads.
+#[derive(Debug)]
+enum Event {
+    Store(StoreEvent),
+    Asked(Asked),
+    Settings(PlannerConfig),
+    BadSettings(eyre::Report),
+}
+
+/// What the actor works with.
+struct Parts {
+    planner: Planner,
+    dialect: CallerDialect,
+    clock: Clock,
+    pause: PauseWatch,
+    callers: HttpPort,
+    ready: HttpPort,
+    metrics: HttpPort,
+    listener: Listener,
+    links: Links,
+    report: PlannerReport,
+    config: PlannerConfig,
+    log: Logger,
+}
+
+/// The planner daemon's only actor.
+struct PlannerActor {
+    parts: Parts,
+    routes: Option<RouteTable>,
+    timer: Option<FixedTimerKey>,
+    /// When a stop was asked for.
+    stopping: Option<Time>,
+    sweep: Time,
+}
+
+/// Runs a planner until it is told to stop and has answered its callers.
+///
+/// # Errors
+///
+/// Returns an error when it cannot start, as when a port is taken, or its loop fails.
+pub fn run_planner(
+    config: PlannerConfig,
+    dialect: CallerDialect,
+    registry: Registry,
+    reload: Reload<PlannerConfig>,
+) -> eyre::Result<()> {
+    let log = log::output_logger(slog::Level::Info, "planner", &config.name);
+    let mut event_loop = EventLoop::new()?;
+    let poll = event_loop.poll.clone();
+    let stakker = &mut event_loop.stakker;
+    let actor: ActorOwn<PlannerActor> = actor_new!(stakker, PlannerActor, ret_shutdown!(stakker));
+    let inbox = Inbox::new(stakker, fwd_to!([actor], events() as (Vec<Event>)));
+    let clock = Clock::start();
+    let bind = |addr: SocketAddr, body, ready| {
+        HttpPort::bind(&poll, addr, body, ready)
+            .wrap_err_with(|| format!("cannot listen on {addr}"))
+    };
+    let callers = bind(
+        config.callers,
+        FIRST_BODY,
+        fwd_to!([actor], callers() as (HttpReady)),
+    )?;
+    let ready = bind(
+        config.ready,
+        SMALL_BODY,
+        fwd_to!([actor], ready() as (HttpReady)),
+    )?;
+    let metrics = bind(
+        config.metrics,
+        SMALL_BODY,
+        fwd_to!([actor], metrics() as (HttpReady)),
+    )?;
+    let listener = Listener::bind(&poll, config.runners, fwd_to!([actor], accept() as (Ready)))
+        .wrap_err_with(|| format!("cannot listen on {}", config.runners))?;
+    let runners = listener.local_addr()?;
+    let links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
+    let settings = PlannerSettings {
+        seed: clock.since_boot().0 ^ u64::from(runners.port()),
+        ..PlannerSettings::default()
+    };
+    info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "callers" => %config.callers,
+        "runners" => %runners, "domain" => %config.domain);
+    watch(&inbox, registry, runners, reload)?;
+    let parts = Parts {
+        planner: Planner::new(settings, clock.time()),
+        dialect,
+        clock,
+        pause: PauseWatch::new(&clock),
+        callers,
+        ready,
+        metrics,
+        listener,
+        links,
+        report: PlannerReport::new()?,
+        config,
+        log: log.clone(),
+    };
+    call!([actor], PlannerActor::init(parts));
+    event_loop.run()?;
+    info!(log, "stopped");
+    Ok(())
+}
+
+/// Starts the threads that tell of the store, signals and settings.
+fn watch(
+    inbox: &Inbox<Event>,
+    registry: Registry,
+    runners: SocketAddr,
+    mut reload: Reload<PlannerConfig>,
+) -> eyre::Result<()> {
+    let tell = inbox.clone();
+    registry::follow_config(registry.clone(), move |event| {
+        tell.push(Event::Store(event))
+    });
+    let tell = inbox.clone();
+    registry::keep_listed(registry, runners, move |event| {
+        tell.push(Event::Store(event))
+    });
+    let tell = inbox.clone();
+    signals::on_signal(move |asked| tell.push(Event::Asked(asked)))?;
+    let tell = inbox.clone();
+    let follow = move || {
+        loop {
+            thread::sleep(Duration::from_micros(SWEEP.0));
+            match reload() {
+                Ok(None) => {}
+                Ok(Some(config)) => tell.push(Event::Settings(config)),
+                Err(error) => tell.push(Event::BadSettings(error)),
+            }
+        }
+    };
+    thread::Builder::new()
+        .name("settings".into())
+        .spawn(follow)?;
+    Ok(())
+}
+
+impl PlannerActor {
+    #[expect(
+        clippy::unnecessary_wraps,
+        reason = "actors are made by functions of this form"
+    )]
+    fn init(cx: CX![], parts: Parts) -> Option<Self> {
+        let mut this = Self {
+            sweep: parts.clock.time() + SWEEP,
+            parts,
+            routes: None,
+            timer: None,
+            stopping: None,
+        };
+        this.carry(cx);
+        Some(this)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.carry(cx);
+    }
+
+    /// Takes in what other threads tell.
+    fn events(&mut self, cx: CX![], events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::Store(StoreEvent::Config(copy)) => self.take_config(copy, "store"),
+                Event::Store(StoreEvent::Members(_)) => {}
+                Event::Store(StoreEvent::Reached(error)) => log_store(&self.parts.log, error),
+                Event::Asked(Asked::Stop) => self.stop(),
+                Event::Asked(Asked::Reload) => {
+                    info!(self.parts.log, "reload asked for");
+                }
+                Event::Settings(config) => self.take_settings(config),
+                Event::BadSettings(error) => {
+                    warn!(self.parts.log, "settings not usable, the last ones stay";
+                        "error" => format!("{error:#}"));
+                }
+            }
+        }
+        self.carry(cx);
+    }
+
+    /// Handles what callers send.
+    fn callers(&mut self, cx: CX![], ready: HttpReady) {
+        self.check_pause();
+        let now = self.parts.clock.time();
+        let events = self.parts.callers.handle(now, ready);
+        self.caller_events(now, events);
+        self.carry(cx);
+    }
+
+    fn caller_events(&mut self, now: Time, events: Vec<HttpEvent>) {
+        let mut queue = std::collections::VecDeque::from(events);
+        while let Some(event) = queue.pop_front() {
+            match event {
+                HttpEvent::Gone(conn) => self.parts.planner.caller_gone(now, Caller(conn.0)),
+                HttpEvent::Request(conn, request) => {
+                    let Some(routes) = &self.routes else {
+                        let answer = (self.parts.dialect.unready)();
+                        queue.extend(self.parts.callers.answer(now, conn, &answer));
+                        continue;
+                    };
+                    let call = (self.parts.dialect.read)(&request, routes, now);
+                    queue.extend(self.serve(now, conn, call));
+                }
+            }
+            queue.extend(self.steps(now));
+        }
+    }
+
+    /// Serves what a caller asks for; returns what came in behind it.
+    fn serve(&mut self, now: Time, conn: ConnNo, call: CallerCall) -> Vec<HttpEvent> {
+        let dialect = self.parts.dialect;
+        let answer = match call {
+            CallerCall::Submit(new) => {
+                self.parts.report.submitted.add(1, &[]);
+                self.parts.planner.submit(now, Caller(conn.0), new);
+                return Vec::new();
+            }
+            CallerCall::Waiting(route) => (dialect.waiting)(self.parts.planner.waiting(&route)),
+            CallerCall::State(job) => (dialect.state)(self.parts.planner.has(job)),
+            CallerCall::Cancel(job) => (dialect.state)(self.parts.planner.cancel(now, job)),
+            CallerCall::Answer(answer) => answer,
+        };
+        self.parts.callers.answer(now, conn, &answer)
+    }
+
+    /// Answers whether callers are to be sent here.
+    fn ready(&mut self, cx: CX![], ready: HttpReady) {
+        let now = self.parts.clock.time();
+        let able =
+            self.routes.is_some() && self.stopping.is_none() && self.parts.planner.runners() > 0;
+        let status = if able { 200 } else { 503 };
+        for event in self.parts.ready.handle(now, ready) {
+            if let HttpEvent::Request(conn, _) = event {
+                let answer = HttpAnswer::json(status, Vec::new());
+                self.parts.ready.answer(now, conn, &answer);
+            }
+        }
+        self.carry(cx);
+    }
+
+    /// Serves the metrics.
+    fn metrics(&mut self, cx: CX![], ready: HttpReady) {
+        let now = self.parts.clock.time();
+        for event in self.parts.metrics.handle(now, ready) {
+            if let HttpEvent::Request(conn, _) = event {
+                let report = &self.parts.report;
+                report.jobs.record(self.parts.planner.jobs() as u64, &[]);
+                report
+                    .runners
+                    .record(self.parts.planner.runners() as u64, &[]);
+                report
+                    .version
+                    .record(self.routes.as_ref().map_or(0, |r| r.version), &[]);
+                let answer = HttpAnswer {
+                    status: 200,
+                    media: "text/plain; version=0.0.4",
+                    comeback: None,
+                    body: report.metrics.text().into_bytes(),
+                };
+                self.parts.metrics.answer(now, conn, &answer);
+            }
+        }
+        self.carry(cx);
+    }
+
+    /// Accepts links of runners.
+    fn accept(&mut self, cx: CX![], _ready: Ready) {
+        while let Some(stream) = self.parts.listener.accept() {
+            if let Err(error) = self.parts.links.accept(stream) {
+                warn!(self.parts.log, "link not accepted"; "error" => %error);
+            }
+        }
+        self.carry(cx);
+    }
+
+    /// Reads from and writes to a link.
+    fn link_ready(&mut self, cx: CX![], event: LinkEvent) {
+        self.check_pause();
+        let mut state = LinkState::Open;
+        if event.writable {
+            state = self.parts.links.flush_link(event.id);
+        }
+        if event.readable && state != LinkState::Closed {
+            state = self.read(event.id);
+        }
+        if state == LinkState::Closed {
+            self.close(event.id);
+        }
+        self.carry(cx);
+    }
+
+    fn read(&mut self, link: LinkId) -> LinkState {
+        loop {
+            let state = self.parts.links.fill(link);
+            let now = self.parts.clock.time();
+            loop {
+                match self.parts.links.receive::<RunnerMessage>(link) {
+                    Ok(None) => break,
+                    Ok(Some(message)) => self.parts.planner.message(now, LinkNo(link.0), message),
+                    Err(error) => {
+                        warn!(self.parts.log, "link dropped"; "error" => %error);
+                        return LinkState::Closed;
+                    }
+                }
+            }
+            if state != LinkState::More {
+                return state;
+            }
+        }
+    }
+
+    fn close(&mut self, link: LinkId) {
+        self.parts.links.close(link);
+        let now = self.parts.clock.time();
+        self.parts.planner.link_down(now, LinkNo(link.0));
+    }
+
+    /// Puts a configuration in force, if it is newer than the one that is.
+    fn take_config(&mut self, copy: ConfigCopy, from: &'static str) {
+        let last = self.routes.as_ref().map_or(0, |r| r.version);
+        if self.routes.is_some() && copy.version <= last {
+            return;
+        }
+        match (self.parts.dialect.config)(&copy.document) {
+            Ok(routes) => {
+                info!(self.parts.log, "configuration in force"; "config" => routes.version,
+                    "before" => last, "from" => from, "routes" => routes.routes().len());
+                self.parts.callers.set_body(routes.body);
+                self.routes = Some(routes);
+                self.parts.planner.set_config(copy);
+            }
+            Err(error) => {
+                warn!(self.parts.log, "configuration not usable, the last one stays";
+                    "config" => copy.version, "before" => last, "error" => format!("{error:#}"));
+            }
+        }
+    }
+
+    fn take_settings(&mut self, config: PlannerConfig) {
+        let old = &self.parts.config;
+        let moved =
+            (old.callers, old.ready, old.runners) != (config.callers, config.ready, config.runners);
+        info!(self.parts.log, "settings reloaded"; "grace_us" => config.grace.0,
+            "needs_restart" => moved);
+        self.parts.config = config;
+    }
+
+    /// Begins a planned stop.
+    fn stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        info!(self.parts.log, "stopping"; "jobs" => self.parts.planner.jobs());
+        self.stopping = Some(self.parts.clock.time());
+        self.parts.callers.set_closing();
+    }
+
+    fn check_pause(&mut self) {
+        if let Some(span) = self.parts.pause.look(&self.parts.clock) {
+            let now = self.parts.clock.time();
+            self.parts.planner.paused(now, span);
+        }
+    }
+
+    /// Runs what is due and carries out all steps.
+    fn carry(&mut self, cx: CX![]) {
+        self.check_pause();
+        let now = self.parts.clock.time();
+        self.parts.planner.tick(now);
+        let events = self.steps(now);
+        if !events.is_empty() {
+            self.caller_events(now, events);
+        }
+        for link in self.parts.links.flush() {
+            self.close(link);
+        }
+        if now >= self.sweep {
+            self.sweep = now + SWEEP;
+            self.parts.callers.sweep(now);
+            self.parts.ready.sweep(now);
+            self.parts.metrics.sweep(now);
+        }
+        self.check_stop(cx, now);
+        self.set_timer(cx);
+    }
+
+    /// Carries out the planner's steps; returns what came in behind answered requests.
+    fn steps(&mut self, now: Time) -> Vec<HttpEvent> {
+        let mut events = Vec::new();
+        for step in self.parts.planner.drain() {
+            match step {
+                PlannerStep::Send { link, message } => {
+                    if let Err(error) = self.parts.links.send(LinkId(link.0), &message) {
+                        warn!(self.parts.log, "message not sent"; "error" => %error);
+                    }
+                }
+                PlannerStep::Close(link) => self.parts.links.close(LinkId(link.0)),
+                PlannerStep::Answer {
+                    caller,
+                    answer,
+                    comeback,
+                    ..
+                } => {
+                    let answer = (self.parts.dialect.answer)(answer, comeback);
+                    let more = self.parts.callers.answer(now, ConnNo(caller.0), &answer);
+                    events.extend(more);
+                }
+                PlannerStep::Config(copy) => self.take_config(copy, "runner"),
+                PlannerStep::Log(event) => {
+                    self.parts.report.count(&event);
+                    planner_log::log(&self.parts.log, &event);
+                }
+            }
+        }
+        events
+    }
+
+    /// Ends the process once a stop was asked for and nobody waits any more.
+    fn check_stop(&mut self, cx: CX![], now: Time) {
+        let Some(since) = self.stopping else {
+            return;
+        };
+        let last = since + self.parts.config.grace - EXIT_TIME;
+        let idle = self.parts.planner.jobs() == 0 && now >= since + LINGER;
+        if now >= last {
+            self.parts.planner.give_up_all(now);
+            self.steps(now);
+            self.parts.links.flush();
+        }
+        if idle || now >= last {
+            cx.shutdown(StopCause::Stopped);
+        }
+    }
+
+    fn set_timer(&mut self, cx: CX![]) {
+        let wake = self.parts.planner.wake_at();
+        let due = self.parts.clock.instant(wake).min(cx.now() + TICK);
+        if let Some(timer) = self.timer.take() {
+            cx.timer_del(timer);
+        }
+        self.timer = Some(at!(due, [cx], tick()));
+    }
+}
+
+/// Logs that the store is lost or found again.
+pub(super) fn log_store(log: &Logger, error: Option<chervilring_platform::StoreError>) {
+    match error {
+        None => info!(log, "store answers again"),
+        Some(error) => warn!(log, "store does not answer"; "error" => %error),
+    }
+}
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -0,0 +1,85 @@
+//! The metrics of a planner.
+
+use chervilring_core::runs::planner::{JobAnswer, PlannerEvent};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+
+use crate::metrics::Metrics;
+
+/// The metrics of a planner.
+pub(super) struct PlannerReport {
+    pub(super) metrics: Metrics,
+    pub(super) jobs: Gauge<u64>,
+    pub(super) runners: Gauge<u64>,
+    pub(super) version: Gauge<u64>,
+    /// Jobs taken from callers.
+    pub(super) submitted: Counter<u64>,
+    completed: Counter<u64>,
+    failed: Counter<u64>,
+    refused: Counter<u64>,
+    given_up: Counter<u64>,
+    abandoned: Counter<u64>,
+    met: Counter<u64>,
+    lost: Counter<u64>,
+    links: Counter<u64>,
+    out: Counter<u64>,
+    spans: Histogram<f64>,
+    waits: Histogram<f64>,
+}
+
+impl PlannerReport {
+    pub(super) fn new() -> eyre::Result<Self> {
+        let metrics = Metrics::new()?;
+        Ok(Self {
+            jobs: metrics.gauge("jobs", "Jobs in hand"),
+            runners: metrics.gauge("runners", "Runners whose link is up"),
+            version: metrics.gauge("config_version", "Configuration in force"),
+            submitted: metrics.counter("jobs_submitted", "Jobs taken from callers"),
+            completed: metrics.counter("jobs_completed", "Jobs that were done"),
+            failed: metrics.counter("jobs_failed", "Jobs of which a task failed for good"),
+            refused: metrics.counter("jobs_refused", "Jobs refused before anything ran"),
+            given_up: metrics.counter("jobs_given_up", "Jobs given up after something had run"),
+            abandoned: metrics.counter("jobs_abandoned", "Jobs whose callers left"),
+            met: metrics.counter("jobs_in_time", "Jobs that were done within their objective"),
+            lost: metrics.counter("runs_lost", "Runs that came to nothing"),
+            links: metrics.counter("links_lost", "Links to runners that were lost"),
+            out: metrics.counter(
+                "upstreams_out",
+                "Upstreams left out because runs fail there",
+            ),
+            spans: metrics.durations("job_duration", "Time from a job's arrival to its answer"),
+            waits: metrics.durations("job_wait", "Time from a job's arrival to its first start"),
+            metrics,
+        })
+    }
+
+    /// Counts an event.
+    pub(super) fn count(&self, event: &PlannerEvent) {
+        match event {
+            PlannerEvent::RunLost { .. } => self.lost.add(1, &[]),
+            PlannerEvent::Abandoned { .. } => self.abandoned.add(1, &[]),
+            PlannerEvent::LinkDown { .. } => self.links.add(1, &[]),
+            PlannerEvent::UpstreamOut { .. } => self.out.add(1, &[]),
+            PlannerEvent::Answered {
+                answer,
+                span,
+                wait,
+                met,
+                ..
+            } => {
+                let counter = match answer {
+                    JobAnswer::Completed => &self.completed,
+                    JobAnswer::Failed => &self.failed,
+                    JobAnswer::Refused(_) => &self.refused,
+                    JobAnswer::GaveUp => &self.given_up,
+                };
+                counter.add(1, &[]);
+                self.met.add(u64::from(*met), &[]);
+                self.spans.record(span.0 as f64 / 1e6, &[]);
+                if let Some(wait) = wait {
+                    self.waits.record(wait.0 as f64 / 1e6, &[]);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -0,0 +1,171 @@
+//! What planners and runners keep in the store: the planners' addresses. The operators'
+//! configuration is read there.
+//!
+//! The store may lose a key without telling, or turn single hosts away: what is in force is what a
+//! read of the key itself brings, and what was read last stays in force while nothing is read.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use chervilring_platform::{Pair, StoreError};
+use chervilring_wire::{ConfigCopy, Micros};
+
+/// Time between reads of the configuration: it is to be in force within two seconds.
+const CONFIG_POLL: Duration = Duration::from_millis(500);
+
+/// Time between looks at the planners' addresses.
+const MEMBER_POLL: Duration = Duration::from_secs(1);
+
+/// How long an address stays listed after its planner was lost.
+const MEMBER_TTL: Micros = Micros::from_secs(10);
+
+/// Looks at the addresses between two renewals of the lease on the own one.
+const RENEW_EVERY: u32 = 3;
+
+/// The prefix of the keys under which planners list their addresses.
+const MEMBERS: &str = "planners/";
+
+type GetConfig = dyn Fn() -> Result<Option<(u64, Pair)>, StoreError> + Send + Sync;
+type List = dyn Fn(&str) -> Result<Vec<Pair>, StoreError> + Send + Sync;
+type Put = dyn Fn(&str, &[u8], u64) -> Result<(), StoreError> + Send + Sync;
+type Grant = dyn Fn(Micros) -> Result<u64, StoreError> + Send + Sync;
+type Renew = dyn Fn(u64) -> Result<bool, StoreError> + Send + Sync;
+
+/// The store's calls, each on a client that several threads share.
+#[derive(Clone)]
+pub struct Registry {
+    /// Reads the newest configuration with its version, past any cache.
+    pub config: Arc<GetConfig>,
+    /// Reads the keys with a prefix, which may be some seconds old.
+    pub list: Arc<List>,
+    /// Writes a key under a lease.
+    pub put: Arc<Put>,
+    /// Makes a lease.
+    pub grant: Arc<Grant>,
+    /// Renews a lease; returns whether it still exists.
+    pub renew: Arc<Renew>,
+}
+
+/// What the threads that call the store tell.
+#[derive(Debug)]
+pub enum StoreEvent {
+    /// The configuration was read and is another than before.
+    Config(ConfigCopy),
+    /// The planners' addresses were read.
+    Members(Vec<SocketAddr>),
+    /// The store answers again, or no more, and why.
+    Reached(Option<StoreError>),
+}
+
+/// Follows the configuration on a thread of its own.
+pub(super) fn follow_config(registry: Registry, tell: impl Fn(StoreEvent) + Send + 'static) {
+    let mut last: Option<Pair> = None;
+    let mut well = true;
+    spawn("store-config", move || {
+        loop {
+            match (registry.config)() {
+                Ok(Some((version, pair))) => {
+                    report(&mut well, None, &tell);
+                    if last.as_ref().is_none_or(|l| l.value != pair.value) {
+                        let document = pair.value.clone().into();
+                        tell(StoreEvent::Config(ConfigCopy { version, document }));
+                        last = Some(pair);
+                    }
+                }
+                Ok(None) => report(&mut well, None, &tell),
+                Err(error) => report(&mut well, Some(error), &tell),
+            }
+            thread::sleep(CONFIG_POLL);
+        }
+    });
+}
+
+/// Keeps the address of a planner listed, on a thread of its own.
+pub(super) fn keep_listed(
+    registry: Registry,
+    addr: SocketAddr,
+    tell: impl Fn(StoreEvent) + Send + 'static,
+) {
+    let mut lease = None;
+    let mut round = 0_u32;
+    let mut well = true;
+    spawn("store-member", move || {
+        loop {
+            let done = list_once(&registry, addr, &mut lease, round);
+            report(&mut well, done.err(), &tell);
+            round = round.wrapping_add(1);
+            thread::sleep(MEMBER_POLL);
+        }
+    });
+}
+
+/// Follows the planners' addresses on a thread of its own.
+pub(super) fn follow_members(registry: Registry, tell: impl Fn(StoreEvent) + Send + 'static) {
+    let mut well = true;
+    spawn("store-member", move || {
+        loop {
+            match (registry.list)(MEMBERS) {
+                Ok(pairs) => {
+                    report(&mut well, None, &tell);
+                    let addrs = pairs.iter().filter_map(|p| addr_of(&p.key));
+                    tell(StoreEvent::Members(addrs.collect()));
+                }
+                Err(error) => report(&mut well, Some(error), &tell),
+            }
+            thread::sleep(MEMBER_POLL);
+        }
+    });
+}
+
+/// Renews the lease when that is due, and writes the key where it is missing: a lease that is
+/// renewed does not prove that its key is still there.
+fn list_once(
+    registry: &Registry,
+    addr: SocketAddr,
+    lease: &mut Option<u64>,
+    round: u32,
+) -> Result<(), StoreError> {
+    let key = format!("{MEMBERS}{addr}");
+    if let Some(id) = lease.filter(|_| round.is_multiple_of(RENEW_EVERY)) {
+        if !(registry.renew)(id)? {
+            *lease = None;
+        }
+    }
+    let listed = round != 0 && (registry.list)(MEMBERS)?.iter().any(|p| p.key == key);
+    if listed && lease.is_some() {
+        return Ok(());
+    }
+    let id = match *lease {
+        Some(id) => id,
+        None => (registry.grant)(MEMBER_TTL)?,
+    };
+    *lease = Some(id);
+    if let Err(error) = (registry.put)(&key, &[], id) {
+        *lease = None;
+        return Err(error);
+    }
+    Ok(())
+}
+
+fn addr_of(key: &str) -> Option<SocketAddr> {
+    key.strip_prefix(MEMBERS)?.parse().ok()
+}
+
+/// Tells when the store is lost or found again.
+fn report(well: &mut bool, error: Option<StoreError>, tell: &impl Fn(StoreEvent)) {
+    if *well == error.is_none() {
+        return;
+    }
+    *well = error.is_none();
+    tell(StoreEvent::Reached(error));
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) {
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(work);
+    if let Err(error) = spawned {
+        // Without the thread the process knows nothing: it is better started anew.
+        panic!("no thread for the store: {error}");
+    }
+}
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -0,0 +1,405 @@
+//! The runner daemon: carries the decisions of a runner to sockets and threads.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use chervilring_core::runs::Runner;
+use chervilring_core::runs::planner::LinkNo;
+use chervilring_core::runs::runner::RunnerStep;
+use chervilring_wire::{Micros, PlannerMessage, Time};
+use eyre::WrapErr;
+use slog::{Logger, info, warn};
+use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
+
+use super::calls::{Called, Calls};
+use super::dialect::{WorkerDialect, WorkerNotice};
+use super::pause::PauseWatch;
+use super::planner::log_store;
+use super::registry::{self, Registry, StoreEvent};
+use super::runner_dial::{Dial, Due};
+use super::runner_log;
+use super::runner_report::RunnerReport;
+use super::settings::{Reload, RunnerConfig};
+use crate::log;
+use crate::net::{
+    Clock, EventLoop, HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId,
+    LinkState, Links,
+};
+use crate::signals::{self, Asked};
+
+/// The longest span between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The largest report of an upstream, in bytes.
+const MAX_REPORT: usize = 64 << 10;
+
+/// What of the grace period is left for the process to end.
+const EXIT_TIME: Micros = Micros::from_millis(900);
+
+/// Time between looks at the settings and at stale connections.
+const SWEEP: Micros = Micros::from_secs(1);
+
+/// What comes from other threads.
+#[derive(Debug)]
+enum Event {
+    Store(StoreEvent),
+    Asked(Asked),
+    Settings(RunnerConfig),
+    BadSettings(eyre::Report),
+}
+
+/// What the actor works with.
+struct Parts {
+    runner: Runner,
+    dialect: WorkerDialect,
+    clock: Clock,
+    pause: PauseWatch,
+    reports: HttpPort,
+    metrics: HttpPort,
+    links: Links,
+    dial: Dial,
+    calls: Calls,
+    report: RunnerReport,
+    config: RunnerConfig,
+    log: Logger,
+}
+
+/// The runner daemon's only actor.
+struct RunnerActor {
+    parts: Parts,
+    timer: Option<FixedTimerKey>,
+    sweep: Time,
+}
+
+/// Runs a runner until it is told to stop and what it had is done.
+///
+/// # Errors
+///
+/// Returns an error when it cannot start, as when a port is taken, or its loop fails.
+pub fn run_runner(
+    config: RunnerConfig,
+    dialect: WorkerDialect,
+    registry: Registry,
+    reload: Reload<RunnerConfig>,
+) -> eyre::Result<()> {
+    let log = log::output_logger(slog::Level::Info, "runner", &config.name);
+    let mut event_loop = EventLoop::new()?;
+    let poll = event_loop.poll.clone();
+    let stakker = &mut event_loop.stakker;
+    let actor: ActorOwn<RunnerActor> = actor_new!(stakker, RunnerActor, ret_shutdown!(stakker));
+    let inbox = Inbox::new(stakker, fwd_to!([actor], events() as (Vec<Event>)));
+    let ends = Inbox::new(stakker, fwd_to!([actor], called() as (Vec<Called>)));
+    let clock = Clock::start();
+    let bind = |addr: SocketAddr, body, ready| {
+        HttpPort::bind(&poll, addr, body, ready)
+            .wrap_err_with(|| format!("cannot listen on {addr}"))
+    };
+    let reports = bind(
+        config.reports,
+        MAX_REPORT,
+        fwd_to!([actor], reports() as (HttpReady)),
+    )?;
+    let metrics = bind(
+        config.metrics,
+        MAX_REPORT,
+        fwd_to!([actor], metrics() as (HttpReady)),
+    )?;
+    let links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
+    info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "reports" => %config.reports,
+        "domain" => %config.domain);
+    watch(&inbox, registry, reload)?;
+    // Rises with each life, as long as the wall clock does; the upstream says when it has not.
+    let fence = clock.now().wall.0;
+    let time = clock.time();
+    let name = config.name.clone();
+    let runner = Runner::new(name, config.domain.clone(), config.lease, fence, time);
+    let mut dial = Dial::default();
+    dial.set_seeds(time, &seeds(&config));
+    let parts = Parts {
+        runner,
+        calls: Calls::new(dialect.clone(), clock, ends),
+        dialect,
+        clock,
+        pause: PauseWatch::new(&clock),
+        reports,
+        metrics,
+        links,
+        dial,
+        report: RunnerReport::new()?,
+        config,
+        log: log.clone(),
+    };
+    call!([actor], RunnerActor::init(parts));
+    event_loop.run()?;
+    info!(log, "stopped");
+    Ok(())
+}
+
+/// Starts the threads that tell of the store, signals and settings.
+fn watch(
+    inbox: &Inbox<Event>,
+    registry: Registry,
+    mut reload: Reload<RunnerConfig>,
+) -> eyre::Result<()> {
+    let tell = inbox.clone();
+    registry::follow_members(registry, move |event| tell.push(Event::Store(event)));
+    let tell = inbox.clone();
+    signals::on_signal(move |asked| tell.push(Event::Asked(asked)))?;
+    let tell = inbox.clone();
+    let follow = move || {
+        loop {
+            thread::sleep(Duration::from_micros(SWEEP.0));
+            match reload() {
+                Ok(None) => {}
+                Ok(Some(config)) => tell.push(Event::Settings(config)),
+                Err(error) => tell.push(Event::BadSettings(error)),
+            }
+        }
+    };
+    thread::Builder::new()
+        .name("settings".into())
+        .spawn(follow)?;
+    Ok(())
+}
+
+/// Returns the addresses of the planners on seed hosts.
+fn seeds(config: &RunnerConfig) -> Vec<SocketAddr> {
+    let addr = |&ip| SocketAddr::new(ip, config.port);
+    config.seeds.iter().map(addr).collect()
+}
+
+impl RunnerActor {
+    #[expect(
+        clippy::unnecessary_wraps,
+        reason = "actors are made by functions of this form"
+    )]
+    fn init(cx: CX![], parts: Parts) -> Option<Self> {
+        let mut this = Self {
+            sweep: parts.clock.time() + SWEEP,
+            parts,
+            timer: None,
+        };
+        this.carry(cx);
+        Some(this)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.carry(cx);
+    }
+
+    /// Takes in what other threads tell.
+    fn events(&mut self, cx: CX![], events: Vec<Event>) {
+        let now = self.parts.clock.time();
+        for event in events {
+            match event {
+                Event::Store(StoreEvent::Config(_)) => {}
+                Event::Store(StoreEvent::Members(addrs)) => self.parts.dial.set_listed(now, &addrs),
+                Event::Store(StoreEvent::Reached(error)) => log_store(&self.parts.log, error),
+                Event::Asked(Asked::Stop) => {
+                    info!(self.parts.log, "stopping"; "runs" => self.parts.runner.runs());
+                    let until = now + self.parts.config.grace - EXIT_TIME;
+                    self.parts.runner.leave(now, until);
+                }
+                Event::Asked(Asked::Reload) => {
+                    info!(self.parts.log, "reload asked for");
+                }
+                Event::Settings(config) => {
+                    let moved = self.parts.config.reports != config.reports;
+                    info!(self.parts.log, "settings reloaded"; "seeds" => config.seeds.len(),
+                        "needs_restart" => moved);
+                    self.parts.dial.set_seeds(now, &seeds(&config));
+                    self.parts.config = config;
+                }
+                Event::BadSettings(error) => {
+                    warn!(self.parts.log, "settings not usable, the last ones stay";
+                        "error" => format!("{error:#}"));
+                }
+            }
+        }
+        self.carry(cx);
+    }
+
+    /// Takes in what became of calls of the upstream.
+    fn called(&mut self, cx: CX![], ends: Vec<Called>) {
+        self.check_pause();
+        let now = self.parts.clock.time();
+        for Called {
+            sent,
+            call,
+            outcome,
+        } in ends
+        {
+            self.parts.runner.called(now, sent, &call, outcome);
+        }
+        self.carry(cx);
+    }
+
+    /// Takes in what the upstream reports.
+    fn reports(&mut self, cx: CX![], ready: HttpReady) {
+        self.check_pause();
+        let now = self.parts.clock.time();
+        for event in self.parts.reports.handle(now, ready) {
+            let HttpEvent::Request(conn, request) = event else {
+                continue;
+            };
+            let answer = match (self.parts.dialect.read)(&request) {
+                WorkerNotice::Report(report) => {
+                    if !self.parts.runner.reported(now, report) {
+                        info!(self.parts.log, "late report of an earlier life ignored");
+                    }
+                    (self.parts.dialect.accepted)()
+                }
+                WorkerNotice::Left(id) => {
+                    self.parts.runner.left(now, &id);
+                    (self.parts.dialect.accepted)()
+                }
+                WorkerNotice::Foreign(answer) => {
+                    warn!(self.parts.log, "report not understood"; "path" => &request.path);
+                    answer
+                }
+            };
+            self.parts.reports.answer(now, conn, &answer);
+        }
+        self.carry(cx);
+    }
+
+    /// Serves the metrics.
+    fn metrics(&mut self, cx: CX![], ready: HttpReady) {
+        let now = self.parts.clock.time();
+        for event in self.parts.metrics.handle(now, ready) {
+            if let HttpEvent::Request(conn, _) = event {
+                let report = &self.parts.report;
+                report.runs.record(self.parts.runner.runs() as u64, &[]);
+                report
+                    .planners
+                    .record(self.parts.runner.planners() as u64, &[]);
+                let answer = HttpAnswer {
+                    status: 200,
+                    media: "text/plain; version=0.0.4",
+                    comeback: None,
+                    body: report.metrics.text().into_bytes(),
+                };
+                self.parts.metrics.answer(now, conn, &answer);
+            }
+        }
+        self.carry(cx);
+    }
+
+    /// Reads from and writes to a link.
+    fn link_ready(&mut self, cx: CX![], event: LinkEvent) {
+        self.check_pause();
+        let mut state = LinkState::Open;
+        if event.writable {
+            state = self.parts.links.flush_link(event.id);
+        }
+        if event.readable && state != LinkState::Closed {
+            state = self.read(event.id);
+        }
+        if state == LinkState::Closed {
+            self.close(event.id);
+        }
+        self.carry(cx);
+    }
+
+    fn read(&mut self, link: LinkId) -> LinkState {
+        loop {
+            let state = self.parts.links.fill(link);
+            let now = self.parts.clock.time();
+            loop {
+                match self.parts.links.receive::<PlannerMessage>(link) {
+                    Ok(None) => break,
+                    Ok(Some(message)) => {
+                        self.parts.dial.heard(link);
+                        self.parts.runner.message(now, LinkNo(link.0), message);
+                    }
+                    Err(error) => {
+                        warn!(self.parts.log, "link dropped"; "error" => %error);
+                        return LinkState::Closed;
+                    }
+                }
+            }
+            if state != LinkState::More {
+                return state;
+            }
+        }
+    }
+
+    fn close(&mut self, link: LinkId) {
+        self.parts.links.close(link);
+        let now = self.parts.clock.time();
+        self.parts.dial.closed(now, link);
+        self.parts.runner.link_down(now, LinkNo(link.0));
+    }
+
+    fn dial(&mut self, now: Time) {
+        for due in self.parts.dial.due(now) {
+            match due {
+                Due::Close(link) => self.close(link),
+                Due::Dial(addr) => match self.parts.links.dial(addr) {
+                    Ok(link) => {
+                        self.parts.dial.opened(now, addr, link);
+                        self.parts.runner.link_up(now, LinkNo(link.0));
+                    }
+                    Err(error) => {
+                        warn!(self.parts.log, "planner not dialled"; "addr" => %addr,
+                            "error" => %error);
+                        self.parts.dial.back_off(now, addr);
+                    }
+                },
+            }
+        }
+    }
+
+    fn check_pause(&mut self) {
+        if let Some(span) = self.parts.pause.look(&self.parts.clock) {
+            let now = self.parts.clock.time();
+            self.parts.runner.paused(now, span);
+        }
+    }
+
+    /// Runs what is due and carries out all steps.
+    fn carry(&mut self, cx: CX![]) {
+        self.check_pause();
+        let now = self.parts.clock.time();
+        self.dial(now);
+        self.parts.runner.tick(now);
+        for step in self.parts.runner.drain() {
+            match step {
+                RunnerStep::Send { link, message } => {
+                    if let Err(error) = self.parts.links.send(LinkId(link.0), &message) {
+                        warn!(self.parts.log, "message not sent"; "error" => %error);
+                    }
+                }
+                RunnerStep::Close(link) => {
+                    self.parts.links.close(LinkId(link.0));
+                    self.parts.dial.closed(now, LinkId(link.0));
+                }
+                RunnerStep::Call(call) => self.parts.calls.start(call),
+                RunnerStep::Log(event) => {
+                    self.parts.report.count(&event);
+                    runner_log::log(&self.parts.log, &event);
+                }
+                RunnerStep::Left => cx.shutdown(StopCause::Stopped),
+            }
+        }
+        for link in self.parts.links.flush() {
+            self.close(link);
+        }
+        if now >= self.sweep {
+            self.sweep = now + SWEEP;
+            self.parts.reports.sweep(now);
+            self.parts.metrics.sweep(now);
+        }
+        self.set_timer(cx);
+    }
+
+    fn set_timer(&mut self, cx: CX![]) {
+        let wake = self.parts.runner.wake_at().min(self.parts.dial.wake_at());
+        let due = self.parts.clock.instant(wake).min(cx.now() + TICK);
+        if let Some(timer) = self.timer.take() {
+            cx.timer_del(timer);
+        }
+        self.timer = Some(at!(due, [cx], tick()));
+    }
+}
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -0,0 +1,66 @@
+//! The metrics of a runner.
+
+use chervilring_core::runs::runner::RunnerEvent;
+use chervilring_wire::RunEnd;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+
+use crate::metrics::Metrics;
+
+/// The metrics of a runner.
+pub(super) struct RunnerReport {
+    pub(super) metrics: Metrics,
+    pub(super) runs: Gauge<u64>,
+    pub(super) planners: Gauge<u64>,
+    taken: Counter<u64>,
+    refused: Counter<u64>,
+    done: Counter<u64>,
+    failed: Counter<u64>,
+    stopped: Counter<u64>,
+    lapsed: Counter<u64>,
+    unanswered: Counter<u64>,
+    lost: Counter<u64>,
+    spans: Histogram<f64>,
+}
+
+impl RunnerReport {
+    pub(super) fn new() -> eyre::Result<Self> {
+        let metrics = Metrics::new()?;
+        Ok(Self {
+            runs: metrics.gauge("runs", "Runs in hand"),
+            planners: metrics.gauge("planners", "Planners whose link is up"),
+            taken: metrics.counter("runs_taken", "Runs taken on"),
+            refused: metrics.counter("runs_refused", "Runs refused or not started"),
+            done: metrics.counter("runs_done", "Runs that were done"),
+            failed: metrics.counter("runs_failed", "Runs that failed"),
+            stopped: metrics.counter("runs_stopped", "Runs that were stopped"),
+            lapsed: metrics.counter("runs_lapsed", "Runs whose lease lapsed"),
+            unanswered: metrics.counter("calls_unanswered", "Calls of the upstream without answer"),
+            lost: metrics.counter("links_lost", "Links to planners that were lost"),
+            spans: metrics.durations("run_duration", "Time from taking on a run to its end"),
+            metrics,
+        })
+    }
+
+    /// Counts an event.
+    pub(super) fn count(&self, event: &RunnerEvent) {
+        match event {
+            RunnerEvent::Taken { runs, .. } => self.taken.add(u64::from(*runs), &[]),
+            RunnerEvent::Refused { .. } | RunnerEvent::NotStarted { .. } => {
+                self.refused.add(1, &[])
+            }
+            RunnerEvent::NoAnswer { .. } => self.unanswered.add(1, &[]),
+            RunnerEvent::LinkLost { .. } => self.lost.add(1, &[]),
+            RunnerEvent::Ended { end, span, .. } => {
+                self.spans.record(span.0 as f64 / 1e6, &[]);
+                let counter = match end {
+                    RunEnd::Done => &self.done,
+                    RunEnd::Failed => &self.failed,
+                    RunEnd::Stopped => &self.stopped,
+                    RunEnd::Lapsed => &self.lapsed,
+                };
+                counter.add(1, &[]);
+            }
+            _ => {}
+        }
+    }
+}
