--- a/crates/chervilring/src/args.rs
+++ b/crates/chervilring/src/args.rs
@@ -5,7 +5,7 @@
 use argh::FromArgs;
 
 use crate::commands::{
-    agent, audit, clear_doubts, declare_dead, entry, job, note, request, status,
+    agent, audit, clear_doubts, declare_dead, entry, job, note, planner, request, runner, status,
 };
 
 /// Dispatcher for sub-second tasks: daemons, and commands for operators and callers.
@@ -34,6 +34,10 @@
     Agent(agent::AgentCommand),
     /// Runs an entry.
     Entry(entry::EntryCommand),
+    /// Runs a planner.
+    Planner(planner::PlannerCommand),
+    /// Runs a runner.
+    Runner(runner::RunnerCommand),
     /// Submits a request.
     Request(request::RequestCommand),
     /// Works with jobs.
