Runner: hello once nothing of an earlier life runs; planner: wake when due

Cause, found by random schedules (seed 2188 of 100,000): a new life of the upstream began with an empty lease, so that runs carried over into it were at once reported as lapsed while they ran on. And a runner that had just started said hello before it knew what its earlier life had left running. Runs carried over now hold for the longest lease there is, and the hello waits for the upstream's lists or the end of that lease.

Also: the planner's wake-up was in the past while any job waited, so that its loop spun; it now wakes for the next thing due.

--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -94,6 +94,8 @@
     /// When its first task was sent.
     pub(super) started: Option<Time>,
     pub(super) tasks: Vec<Task>,
+    /// When its tasks were last tried to be placed.
+    pub(super) looked: Time,
     /// Runs sent so far.
     pub(super) starts: u32,
     /// Whether a run may have begun: not all that was sent so far was refused.
@@ -139,6 +141,26 @@
         self.tasks.iter().filter(here).count() as u32
     }
 
+    /// Returns when it is to be looked at even if nothing happens.
+    pub(super) fn due(&self) -> Time {
+        let waits = |t: &Task| match t.state {
+            TaskState::Waiting(at) => Some(at),
+            _ => None,
+        };
+        let end = if self.started.is_none() {
+            self.hold
+        } else {
+            self.new.deadline
+        };
+        // Tasks that wait for an upstream since before are placed when that changes.
+        let lost = self
+            .tasks
+            .iter()
+            .filter_map(waits)
+            .filter(|&at| at > self.looked);
+        lost.min().unwrap_or(Time::NEVER).min(end)
+    }
+
     /// Returns the runs that may be going on, each with the link to its upstream.
     pub(super) fn live(&self) -> impl Iterator<Item = (RunKey, LinkNo)> + '_ {
         let link = |state: TaskState| match state {
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -142,6 +142,7 @@
             objective,
             hold,
             started: None,
+            looked: now,
             starts: 0,
             touched: false,
         };
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -23,9 +23,6 @@
 /// within seconds.
 const PAST_AGE: Micros = Micros::from_secs(30);
 
-/// How often waiting jobs are looked at again.
-const LOOK: Micros = Micros::from_millis(10);
-
 /// The share of all upstreams' processors from which a step counts as wide.
 const WIDE: f64 = 0.25;
 
@@ -74,7 +71,8 @@
             self.profiles.retain(|_, p| now.since(p.seen) < PROFILE_AGE);
             self.past.retain(|_, (_, until)| now < *until);
         }
-        if self.changed {
+        let lost = self.jobs.values().any(|j| j.due() <= now);
+        if self.changed || lost {
             self.changed = false;
             self.schedule(now);
         }
@@ -84,18 +82,10 @@
         }
     }
 
-    /// Returns when something may be due.
+    /// Returns when something is due.
     pub fn wake_at(&self) -> Time {
-        let waits = |j: &&Job| {
-            j.tasks
-                .iter()
-                .any(|t| matches!(t.state, TaskState::Waiting(_)))
-        };
-        let looks = self.jobs.values().any(|j| waits(&j));
-        if looks {
-            return self.beat.min(self.beat - BEAT + LOOK);
-        }
-        self.beat
+        let jobs = self.jobs.values().map(Job::due);
+        jobs.min().unwrap_or(Time::NEVER).min(self.beat)
     }
 
     /// Takes in that the process had stood still for some time: its links have ended at the other
@@ -147,9 +137,10 @@
 
     /// Places what can be placed of a job; returns how many of its tasks are left waiting.
     pub(super) fn place(&mut self, now: Time, no: u64) -> u32 {
-        let Some(job) = self.jobs.get(&no) else {
+        let Some(job) = self.jobs.get_mut(&no) else {
             return 0;
         };
+        job.looked = now;
         let mut left = 0;
         for step in 0..job.new.steps.len() {
             left += self.place_step(now, no, step);
--- a/crates/chervilring_core/src/runs/runner/lease.rs
+++ b/crates/chervilring_core/src/runs/runner/lease.rs
@@ -12,6 +12,8 @@
     read: Option<(u64, Time)>,
     /// The furthest end that was sent, in milliseconds of its clock.
     end: u64,
+    /// Before this it is not over, whatever the clock says.
+    floor: Time,
 }
 
 impl Lease {
@@ -31,12 +33,20 @@
         Some(end)
     }
 
+    /// Takes in that orders with ends on the clock of an earlier life may have been carried out:
+    /// they hold for the longest lease that there is.
+    pub fn doubt(&mut self, now: Time, longest: Micros) {
+        let slow = Micros((longest.0 as f64 / (1.0 - SLOW_CLOCK)) as u64);
+        self.floor = now + slow + Micros::from_millis(1);
+    }
+
     /// Returns when the lease has surely ended, however slow the upstream's clock is.
     pub fn over(&self) -> Time {
         let Some((clock, at)) = self.read else {
             return Time::NEVER;
         };
         let left = self.end.saturating_sub(clock) as f64 / (1.0 - SLOW_CLOCK);
-        at + Micros::from_millis(left.ceil() as u64 + 1)
+        let end = at + Micros::from_millis(left.ceil() as u64 + 1);
+        end.max(self.floor)
     }
 }
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -11,7 +11,7 @@
 use super::event::RunnerEvent;
 use super::links::Link;
 use super::worker::{Report, Worker, WorkerState};
-use crate::runs::bounds::BEAT;
+use crate::runs::bounds::{BEAT, RUN_GONE};
 use crate::runs::planner::LinkNo;
 
 /// How long runs are assumed to take before the first has ended, in microseconds.
@@ -92,6 +92,8 @@
     pub(super) open: bool,
     /// How long runs have taken of late, in microseconds.
     pub(super) span: f64,
+    /// When the lease of what an earlier life of this runner has started is surely over.
+    pub(super) past: Time,
 }
 
 impl Runner {
@@ -113,6 +115,7 @@
             leaving: None,
             open: false,
             span: FIRST_SPAN,
+            past: now + RUN_GONE,
         }
     }
 
@@ -278,6 +281,10 @@
 
     /// Has runs of the life before looked for in the lists of the new one.
     fn carry_over(&mut self, now: Time) {
+        let longest = self.lease;
+        if let Some(worker) = &mut self.worker {
+            worker.lease.doubt(now, longest);
+        }
         let runs: Vec<RunKey> = self.runs.keys().copied().collect();
         for run in runs {
             let Some(row) = self.runs.get_mut(&run) else {
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -20,7 +20,7 @@
     pub fn tick(&mut self, now: Time) {
         self.drop_silent(now);
         self.check_lease(now);
-        self.greet_links();
+        self.greet_links(now);
         if now >= self.beat {
             self.beat = now + BEAT;
             self.send_beats(now);
@@ -198,11 +198,13 @@
     }
 
     /// Says hello on new links, once nothing runs for a planner that was lost.
-    fn greet_links(&mut self) {
+    fn greet_links(&mut self, now: Time) {
         if self.runs.values().any(|r| r.link.is_none()) {
             return;
         }
-        if self.worker.as_ref().is_some_and(|w| !w.known) {
+        // What an earlier life of this runner has started is known from the upstream's lists, or
+        // over with its lease.
+        if now < self.past && !self.worker.as_ref().is_some_and(|w| w.known) {
             return;
         }
         for (&link, row) in &mut self.links {
