Runner: recall the upstream from the store after a restart

What an upstream says at the start of a life is now kept under upstreams/<runner>, one write a life; a restarted runner reads it, asks the upstream whether it is that one and takes work, and has the lists tell whether the life is the same. A life that has not said what it has takes nothing.

--- a/crates/chervilring_core/src/runs/runner/call.rs
+++ b/crates/chervilring_core/src/runs/runner/call.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use chervilring_wire::{Micros, Name, Resources, RunEnd, RunKey};
+use serde::{Deserialize, Serialize};
 
 /// One life of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerLife {
     /// The id that the upstream announces; it may have had it in an earlier life.
     pub id: Name,
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -61,7 +61,12 @@
         report.life.born = born;
         report.sequence = 0;
         report.clock = None;
-        self.reported(now, report);
+        self.begin_life(now, report);
+        self.carry_over(now);
+        // The new life may be of another kind: it takes no work before it has said of itself.
+        if let Some(worker) = &mut self.worker {
+            worker.described = false;
+        }
     }
 
     fn take_lists(&mut self, now: Time, sent: Time, lists: &Lists) {
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -34,6 +34,8 @@
     Close(LinkNo),
     /// The upstream is to be called; the outcome is told by [`Runner::called`].
     Call(WorkerCall),
+    /// What the upstream says of this life is to be kept, for the next life of the runner.
+    Keep(Report),
     /// Something is to be logged.
     Log(RunnerEvent),
     /// The runner has nothing left to do and the process may end.
@@ -123,6 +125,7 @@
     /// life are not.
     pub fn reported(&mut self, now: Time, report: Report) -> bool {
         let Some(worker) = &mut self.worker else {
+            self.steps.push(RunnerStep::Keep(report.clone()));
             self.begin_life(now, report);
             return true;
         };
@@ -134,6 +137,7 @@
             // Under the id that is meant in calls the new life may have begun what was asked of
             // the old one.
             let same = report.life.id == life.id;
+            self.steps.push(RunnerStep::Keep(report.clone()));
             if !same {
                 self.end_life(now);
             }
@@ -149,11 +153,29 @@
         if let Some(clock) = report.clock {
             worker.lease.read(now, clock);
         }
+        if !worker.described {
+            worker.described = true;
+            self.steps.push(RunnerStep::Keep(report.clone()));
+        }
         worker.report = report;
         self.tick(now);
         true
     }
 
+    /// Takes in what an upstream had said to an earlier life of this runner. Its lists tell whether
+    /// that is still the same life.
+    pub fn recall(&mut self, now: Time, report: Report) {
+        if self.worker.is_some() {
+            return;
+        }
+        let report = Report {
+            sequence: 0,
+            clock: None,
+            ..report
+        };
+        self.begin_life(now, report);
+    }
+
     /// Takes in that the upstream ends; `id` is the one that it has announced.
     pub fn left(&mut self, now: Time, id: &str) {
         if let Some(worker) = self.worker.as_mut().filter(|w| &*w.report.life.id == id) {
@@ -252,7 +274,7 @@
         waiting.fold(Resources::default(), |sum, run| sum.plus(&run.demand))
     }
 
-    fn begin_life(&mut self, now: Time, report: Report) {
+    pub(super) fn begin_life(&mut self, now: Time, report: Report) {
         let event = RunnerEvent::WorkerUp {
             id: report.life.id.clone(),
             born: report.life.born,
@@ -280,7 +302,7 @@
     }
 
     /// Has runs of the life before looked for in the lists of the new one.
-    fn carry_over(&mut self, now: Time) {
+    pub(super) fn carry_over(&mut self, now: Time) {
         let longest = self.lease;
         if let Some(worker) = &mut self.worker {
             worker.lease.doubt(now, longest);
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -317,5 +317,8 @@
     if !worker.known {
         return "what runs is not known yet";
     }
+    if !worker.described {
+        return "what the new life has is not known yet";
+    }
     "ready"
 }
--- a/crates/chervilring_core/src/runs/runner/worker.rs
+++ b/crates/chervilring_core/src/runs/runner/worker.rs
@@ -1,12 +1,13 @@
 //! The upstream as a runner knows it.
 
 use chervilring_wire::{DomainName, Name, Resources, ServiceName, Time};
+use serde::{Deserialize, Serialize};
 
 use super::call::WorkerLife;
 use super::lease::Lease;
 
 /// Whether an upstream takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkerState {
     /// It takes work.
     Ready,
@@ -15,7 +16,7 @@
 }
 
 /// What an upstream says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The life that speaks.
     pub life: WorkerLife,
@@ -54,6 +55,8 @@
     pub(super) lapsed: bool,
     /// Whether it has said that it ends.
     pub(super) left: bool,
+    /// Whether what is known of it was said of this life.
+    pub(super) described: bool,
 }
 
 impl Worker {
@@ -68,11 +71,16 @@
             retry: Time::default(),
             lapsed: false,
             left: false,
+            described: true,
         }
     }
 
     /// Returns whether it takes new runs.
     pub(super) fn is_open(&self) -> bool {
-        self.known && self.answers && !self.left && self.report.state == WorkerState::Ready
+        self.known
+            && self.answers
+            && self.described
+            && !self.left
+            && self.report.state == WorkerState::Ready
     }
 }
--- a/crates/chervilring_core/tests/runs/world.rs
+++ b/crates/chervilring_core/tests/runs/world.rs
@@ -684,7 +684,7 @@
             RunnerStep::Close(link) => self.send(link.0, Packet::EndAtPlanner),
             RunnerStep::Call(call) => self.call(r, call),
             RunnerStep::Log(event) => self.note(&format!("runner {r}: {event:?}")),
-            RunnerStep::Left => {}
+            RunnerStep::Left | RunnerStep::Keep(_) => {}
         }
     }
 
--- a/crates/chervilring_daemon/src/runs/dialect.rs
+++ b/crates/chervilring_daemon/src/runs/dialect.rs
@@ -4,7 +4,7 @@
 
 use chervilring_core::runs::RouteTable;
 use chervilring_core::runs::planner::{JobAnswer, NewJob};
-use chervilring_core::runs::runner::{CallOutcome, Report, WorkerCall};
+use chervilring_core::runs::runner::{CallOutcome, Report, WorkerCall, WorkerLife};
 use chervilring_wire::{JobId, Micros, Name, Time};
 
 use crate::net::{HttpAnswer, HttpRequest};
@@ -61,4 +61,6 @@
     pub accepted: fn() -> HttpAnswer,
     /// Calls the upstream; it blocks.
     pub call: Arc<dyn Fn(&WorkerCall) -> CallOutcome + Send + Sync>,
+    /// Asks whether a life of an upstream is there and takes work; it blocks.
+    pub healthy: Arc<dyn Fn(&WorkerLife) -> bool + Send + Sync>,
 }
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -1,16 +1,19 @@
-//! What planners and runners keep in the store: the planners' addresses. The operators'
-//! configuration is read there.
+//! What planners and runners keep in the store: the planners' addresses, and what each upstream
+//! has last said of itself. The operators' configuration is read there.
 //!
 //! The store may lose a key without telling, or turn single hosts away: what is in force is what a
 //! read of the key itself brings, and what was read last stays in force while nothing is read.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
 
+use chervilring_core::runs::runner::Report;
 use chervilring_platform::{Pair, StoreError};
 use chervilring_wire::{ConfigCopy, Micros};
+use slog::{Logger, warn};
 
 /// Time between reads of the configuration: it is to be in force within two seconds.
 const CONFIG_POLL: Duration = Duration::from_millis(500);
@@ -27,6 +30,12 @@
 /// The prefix of the keys under which planners list their addresses.
 const MEMBERS: &str = "planners/";
 
+/// The prefix of the keys under which runners keep what their upstreams have said.
+const UPSTREAMS: &str = "upstreams/";
+
+/// The lease of keys that are kept for good.
+const NO_LEASE: u64 = 0;
+
 type GetConfig = dyn Fn() -> Result<Option<(u64, Pair)>, StoreError> + Send + Sync;
 type List = dyn Fn(&str) -> Result<Vec<Pair>, StoreError> + Send + Sync;
 type Put = dyn Fn(&str, &[u8], u64) -> Result<(), StoreError> + Send + Sync;
@@ -119,6 +128,49 @@
     });
 }
 
+/// Reads what the upstream of a runner had last said, if that can be had.
+pub(super) fn recall(registry: &Registry, name: &str, log: &Logger) -> Option<Report> {
+    let key = format!("{UPSTREAMS}{name}");
+    let pairs = match (registry.list)(&key) {
+        Ok(pairs) => pairs,
+        Err(error) => {
+            warn!(log, "upstream not recalled"; "error" => %error);
+            return None;
+        }
+    };
+    let pair = pairs.into_iter().find(|p| p.key == key)?;
+    match postcard::from_bytes(&pair.value) {
+        Ok(report) => Some(report),
+        Err(error) => {
+            warn!(log, "upstream not recalled"; "error" => %error);
+            None
+        }
+    }
+}
+
+/// Keeps what the upstream of a runner says, the newest of what waits, on a thread of its own.
+pub(super) fn keep_reports(registry: Registry, name: &str, reports: Receiver<Report>, log: Logger) {
+    let key = format!("{UPSTREAMS}{name}");
+    spawn("store-upstream", move || {
+        while let Ok(mut report) = reports.recv() {
+            loop {
+                report = reports.try_iter().last().unwrap_or(report);
+                match keep_report(&registry, &key, &report) {
+                    Ok(()) => break,
+                    Err(error) => warn!(log, "upstream not kept, trying again"; "error" => %error),
+                }
+                thread::sleep(MEMBER_POLL);
+            }
+        }
+    });
+}
+
+fn keep_report(registry: &Registry, key: &str, report: &Report) -> Result<(), StoreError> {
+    let bytes = postcard::to_stdvec(report);
+    let bytes = bytes.map_err(|e| StoreError::Invalid(e.to_string()))?;
+    (registry.put)(key, &bytes, NO_LEASE)
+}
+
 /// Renews the lease when that is due, and writes the key where it is missing: a lease that is
 /// renewed does not prove that its key is still there.
 fn list_once(
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -1,12 +1,13 @@
 //! The runner daemon: carries the decisions of a runner to sockets and threads.
 
 use std::net::SocketAddr;
+use std::sync::mpsc::{self, Sender};
 use std::thread;
 use std::time::Duration;
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_core::runs::runner::RunnerStep;
+use chervilring_core::runs::runner::{Report, RunnerStep};
 use chervilring_wire::{Micros, PlannerMessage, Time};
 use eyre::WrapErr;
 use slog::{Logger, info, warn};
@@ -44,6 +45,7 @@
 #[derive(Debug)]
 enum Event {
     Store(StoreEvent),
+    Recalled(Report),
     Asked(Asked),
     Settings(RunnerConfig),
     BadSettings(eyre::Report),
@@ -60,6 +62,7 @@
     links: Links,
     dial: Dial,
     calls: Calls,
+    keep: Sender<Report>,
     report: RunnerReport,
     config: RunnerConfig,
     log: Logger,
@@ -108,6 +111,9 @@
     let links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "reports" => %config.reports,
         "domain" => %config.domain);
+    let (keep, kept) = mpsc::channel();
+    registry::keep_reports(registry.clone(), &config.name, kept, log.clone());
+    recall(&inbox, &registry, &dialect, &config, &log)?;
     watch(&inbox, registry, reload)?;
     // Rises with each life, as long as the wall clock does; the upstream says when it has not.
     let fence = clock.now().wall.0;
@@ -120,6 +126,7 @@
         runner,
         calls: Calls::new(dialect.clone(), clock, ends),
         dialect,
+        keep,
         clock,
         pause: PauseWatch::new(&clock),
         reports,
@@ -163,6 +170,28 @@
     Ok(())
 }
 
+/// Has what the upstream had said to an earlier life of this runner read, and checks that the
+/// upstream is there and takes work: its next report may be more than a second away.
+fn recall(
+    inbox: &Inbox<Event>,
+    registry: &Registry,
+    dialect: &WorkerDialect,
+    config: &RunnerConfig,
+    log: &Logger,
+) -> eyre::Result<()> {
+    let tell = inbox.clone();
+    let (registry, dialect) = (registry.clone(), dialect.clone());
+    let (name, log) = (config.name.clone(), log.clone());
+    let work = move || {
+        let report = registry::recall(&registry, &name, &log);
+        if let Some(report) = report.filter(|r| (dialect.healthy)(&r.life)) {
+            tell.push(Event::Recalled(report));
+        }
+    };
+    thread::Builder::new().name("recall".into()).spawn(work)?;
+    Ok(())
+}
+
 /// Returns the addresses of the planners on seed hosts.
 fn seeds(config: &RunnerConfig) -> Vec<SocketAddr> {
     let addr = |&ip| SocketAddr::new(ip, config.port);
@@ -196,6 +225,11 @@
                 Event::Store(StoreEvent::Config(_)) => {}
                 Event::Store(StoreEvent::Members(addrs)) => self.parts.dial.set_listed(now, &addrs),
                 Event::Store(StoreEvent::Reached(error)) => log_store(&self.parts.log, error),
+                Event::Recalled(report) => {
+                    info!(self.parts.log, "upstream recalled"; "upstream" => &*report.life.id,
+                        "born_ms" => report.life.born);
+                    self.parts.runner.recall(now, report);
+                }
                 Event::Asked(Asked::Stop) => {
                     info!(self.parts.log, "stopping"; "runs" => self.parts.runner.runs());
                     let until = now + self.parts.config.grace - EXIT_TIME;
@@ -376,6 +410,11 @@
                     self.parts.dial.closed(now, LinkId(link.0));
                 }
                 RunnerStep::Call(call) => self.parts.calls.start(call),
+                RunnerStep::Keep(report) => {
+                    if self.parts.keep.send(report).is_err() {
+                        warn!(self.parts.log, "upstream not kept: its thread has ended");
+                    }
+                }
                 RunnerStep::Log(event) => {
                     self.parts.report.count(&event);
                     runner_log::log(&self.parts.log, &event);
