Planner: learns when runs begin and calls jobs back when their hold ends

Runners now tell when a run begins. A job of which nothing has begun when its hold ends is called back and refused, once that is confirmed; one that has begun stays in the queues, behind all that is in time when it is late. Queues are told by how long their runs can wait. Speed leans less on its prior: it stayed 12% off for good.

The model of an upstream now tells ends after 6 ms, not 20; in truth it tells them at once.

--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -91,15 +91,15 @@
     pub(super) objective: Time,
     /// Until when its first task may wait.
     pub(super) hold: Time,
-    /// When its first task was sent.
+    /// When its first task had begun, as far as is known.
     pub(super) started: Option<Time>,
+    /// Whether it is refused as soon as no task of it can begin any more.
+    pub(super) withdrawn: bool,
     pub(super) tasks: Vec<Task>,
     /// When its tasks were last tried to be placed.
     pub(super) looked: Time,
     /// Runs sent so far.
     pub(super) starts: u32,
-    /// Whether a run may have begun: not all that was sent so far was refused.
-    pub(super) touched: bool,
 }
 
 impl Job {
@@ -132,6 +132,21 @@
         after.is_empty() || !self.tasks.iter().any(open)
     }
 
+    /// Returns until when it is of use to begin a task that runs for `run`: in time for the objective,
+    /// or else for the caller.
+    pub(super) fn latest(&self, now: Time, run: Micros) -> Time {
+        let latest = self.objective - run;
+        if latest > now {
+            return latest;
+        }
+        self.new.deadline - run
+    }
+
+    /// Returns whether a task of it was sent and may begin, or has begun.
+    pub(super) fn is_sent(&self) -> bool {
+        self.started.is_some() || self.live().next().is_some()
+    }
+
     /// Returns how many tasks of a step are at the upstream behind a link.
     pub(super) fn there(&self, step: usize, link: LinkNo) -> u32 {
         let here = |t: &&Task| match t.state {
@@ -147,11 +162,8 @@
             TaskState::Waiting(at) => Some(at),
             _ => None,
         };
-        let end = if self.started.is_none() {
-            self.hold
-        } else {
-            self.new.deadline
-        };
+        let held = self.started.is_none() && !self.withdrawn;
+        let end = if held { self.hold } else { self.new.deadline };
         // Tasks that wait for an upstream since before are placed when that changes.
         let lost = self
             .tasks
--- a/crates/chervilring_core/src/runs/planner/placement.rs
+++ b/crates/chervilring_core/src/runs/planner/placement.rs
@@ -53,16 +53,16 @@
 ///
 /// Of those that meet the objective one without a wait is taken; of these a slow one rather than a
 /// fast one, and the one with most free: planners that choose at the same time then seldom meet. A
-/// job that has been started and is late takes what is left over.
+/// job that has been started and is late goes where it ends first, behind all that is in time.
 pub fn choose(offers: &[Offer], wish: &Wish, mut tie: impl FnMut() -> f64) -> Choice {
     let mut best: Option<(usize, f64)> = None;
-    let mut spare: Option<(usize, Micros)> = None;
+    let mut spare: Option<(usize, Time)> = None;
     let mut hope = false;
     for (place, offer) in offers.iter().enumerate().filter(|(_, o)| o.open) {
         hope = hope || ends(offer, Micros(0), wish) <= wish.objective;
-        let idle = offer.wait == Micros(0);
-        if idle && spare.is_none_or(|(_, run)| offer.run < run) {
-            spare = Some((place, offer.run));
+        let end = wish.now + offer.wait + offer.run;
+        if spare.is_none_or(|(_, other)| end < other) {
+            spare = Some((place, end));
         }
         let late = ends(offer, offer.wait, wish) > wish.objective;
         if late || wish.now + offer.wait > wish.latest {
@@ -77,9 +77,7 @@
         return Choice::Take(place);
     }
     match spare {
-        Some((place, run)) if wish.started && !hope && wish.now + run < wish.deadline => {
-            Choice::Take(place)
-        }
+        Some((place, end)) if wish.started && !hope && end < wish.deadline => Choice::Take(place),
         _ => Choice::Wait,
     }
 }
--- a/crates/chervilring_core/src/runs/planner/speed.rs
+++ b/crates/chervilring_core/src/runs/planner/speed.rs
@@ -3,10 +3,10 @@
 use chervilring_wire::Micros;
 
 /// How much of the past is kept with each run.
-const KEEP: f64 = 0.93;
+const KEEP: f64 = 0.96;
 
 /// How many runs the assumption that an upstream has its declared speed counts for.
-const PRIOR: f64 = 2.0;
+const PRIOR: f64 = 1.0;
 
 /// The furthest that one run may be off, as a logarithm: declared sizes are rough.
 const FURTHEST: f64 = 2.5;
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -144,11 +144,11 @@
             started: None,
             looked: now,
             starts: 0,
-            touched: false,
+            withdrawn: false,
         };
         self.jobs.insert(no, job);
         let left = self.place(now, no);
-        if left > 0 && self.jobs.get(&no).is_some_and(|j| j.started.is_none()) {
+        if left > 0 && self.jobs.get(&no).is_some_and(|j| !j.is_sent()) {
             self.log_queued(no);
         }
         self.settle(now, no);
@@ -204,6 +204,12 @@
                 }
             }
             RunnerMessage::State(state) => self.set_state(now, link, state),
+            RunnerMessage::Started(run) => {
+                if let Some((no, _)) = self.runs.get(&run).filter(|_| self.is_at(&run, link)) {
+                    let job = self.jobs.get_mut(no);
+                    job.map(|j| j.started.get_or_insert(now));
+                }
+            }
             RunnerMessage::Refused { run, reason } => {
                 self.count_down(link);
                 if self.is_at(&run, link) {
@@ -323,7 +329,7 @@
             return;
         };
         let size = job.step(place).size;
-        job.touched = true;
+        job.started.get_or_insert(now);
         let task = &mut job.tasks[place];
         let name = self.links.get(&link).map(|u| u.name.clone());
         let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
@@ -365,11 +371,6 @@
         self.runs.remove(&run);
         if let Some(job) = self.jobs.get_mut(&no) {
             job.tasks[place].state = TaskState::Waiting(now);
-            let idle = !job.touched && job.live().next().is_none();
-            if idle {
-                // All that was sent was refused: the job is as new.
-                job.started = None;
-            }
         }
         self.settle(now, no);
     }
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -1,7 +1,7 @@
 //! What a planner does over its tables: placing, giving up, heartbeats.
 
 use chervilring_wire::{
-    Micros, Name, PlannerMessage, Resources, RunKey, StartRuns, Time, UpstreamState,
+    Micros, Name, PlannerMessage, Queued, Resources, RunKey, StartRuns, Time, UpstreamState,
 };
 
 use super::event::{LossCause, PlannerEvent};
@@ -40,7 +40,7 @@
     link: LinkNo,
     name: Name,
     state: UpstreamState,
-    /// What is asked of it beyond what runs.
+    /// What is asked of it beyond what runs, and goes first.
     asked: Resources,
     run: Micros,
     /// How many more runs it may be sent.
@@ -121,10 +121,10 @@
                 .any(|t| matches!(t.state, TaskState::Waiting(_)));
             let key = urgency(job.objective, job.new.chain());
             // What is late anyway takes what is left over.
-            let rank = match job.started {
-                Some(_) if now < key => 0,
-                None => 1,
-                Some(_) => 2,
+            let rank = match (job.is_sent(), now < key) {
+                (true, true) => 0,
+                (false, _) => 1,
+                (true, false) => 2,
             };
             waits.then_some((rank, key, no))
         };
@@ -141,6 +141,9 @@
             return 0;
         };
         job.looked = now;
+        if job.withdrawn {
+            return 0;
+        }
         let mut left = 0;
         for step in 0..job.new.steps.len() {
             left += self.place_step(now, no, step);
@@ -164,7 +167,7 @@
             return 0;
         }
         let (places, left) = self.choose_places(now, no, step, &due);
-        let started = self.jobs.get(&no).is_some_and(|j| j.started.is_some());
+        let started = self.jobs.get(&no).is_some_and(Job::is_sent);
         // A part of a job is of no use to its caller: it is begun when all of it has a place.
         let begun = started || left == 0 || self.is_wide(no, step);
         if places.is_empty() || !begun {
@@ -266,6 +269,8 @@
                 room = room.min(spread.saturating_sub(job.there(step, link)));
             }
             let mut run = profile.speed.run(row.size);
+            let latest = job.latest(now, run);
+            let patience = now.until(latest);
             if row.rack.as_ref().is_some_and(|r| !state.labels.contains(r)) {
                 run = Micros((run.0 as f64 * FAR_FACTOR) as u64);
             }
@@ -273,7 +278,7 @@
                 link,
                 name: upstream.name.clone(),
                 state: state.clone(),
-                asked: upstream.asked(),
+                asked: upstream.ahead(patience),
                 run,
                 room,
             });
@@ -313,13 +318,19 @@
                 age = age.max(now.since(*at));
             }
             shown.push((place.name, runs.len() as u32));
+            let latest = job.latest(now, place.run);
+            let patience = now.until(latest);
+            let took = Queued {
+                patience,
+                demand: took,
+            };
             let number = upstream.sent(took, runs.len() as u32);
             let message = PlannerMessage::Start(StartRuns {
                 number,
                 service: job.new.route.service.clone(),
                 spec: job.new.spec.clone(),
                 demand,
-                patience: now.until(job.objective - place.run),
+                patience,
                 runs,
             });
             self.steps.push(PlannerStep::Send {
@@ -327,7 +338,6 @@
                 message,
             });
         }
-        job.started.get_or_insert(now);
         let event = PlannerEvent::Placed {
             job: job.new.id,
             places: shown,
@@ -355,14 +365,40 @@
             } else {
                 Refusal::Unreachable
             };
-            self.give_up(now, no, why);
+            self.withdraw(now, no, why);
             return;
         }
-        if now >= job.new.deadline || self.is_hopeless(now, job) {
+        // One that was to be refused and has begun all the same is of no use half done.
+        let begun = job.withdrawn && job.started.is_some();
+        if begun || now >= job.new.deadline || self.is_hopeless(now, job) {
             self.give_up(now, no, Refusal::Overload);
         }
     }
 
+    /// Refuses a job of which nothing has begun, once that is sure: what waits at upstreams is
+    /// called back first.
+    fn withdraw(&mut self, now: Time, no: u64, why: Refusal) {
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        if !job.is_sent() {
+            self.give_up(now, no, why);
+            return;
+        }
+        if job.withdrawn || now >= job.new.deadline {
+            if now >= job.new.deadline {
+                self.give_up(now, no, why);
+            }
+            return;
+        }
+        job.withdrawn = true;
+        let mut stops: Vec<(LinkNo, Vec<RunKey>)> = Vec::new();
+        for (run, link) in job.live() {
+            add_stop(&mut stops, link, run);
+        }
+        self.send_stops(stops);
+    }
+
     /// Returns whether a task that is yet to be started cannot end before the caller leaves.
     fn is_hopeless(&self, now: Time, job: &Job) -> bool {
         if job.started.is_none() {
@@ -385,8 +421,8 @@
 
     /// Answers a job that is not served: refused when nothing of it was started.
     fn give_up(&mut self, now: Time, no: u64, why: Refusal) {
-        let started = self.jobs.get(&no).is_some_and(|j| j.started.is_some());
-        let answer = if started {
+        let sent = self.jobs.get(&no).is_some_and(Job::is_sent);
+        let answer = if sent {
             JobAnswer::GaveUp
         } else {
             JobAnswer::Refused(why)
@@ -434,11 +470,12 @@
         let mut stops: Vec<(LinkNo, Vec<RunKey>)> = Vec::new();
         for (run, link) in job.live() {
             self.runs.remove(&run);
-            match stops.iter_mut().find(|(l, _)| *l == link) {
-                Some((_, runs)) => runs.push(run),
-                None => stops.push((link, vec![run])),
-            }
+            add_stop(&mut stops, link, run);
         }
+        self.send_stops(stops);
+    }
+
+    fn send_stops(&mut self, stops: Vec<(LinkNo, Vec<RunKey>)>) {
         for (link, runs) in stops {
             let message = PlannerMessage::Stop(runs);
             self.steps.push(PlannerStep::Send { link, message });
@@ -470,7 +507,7 @@
             }));
             self.runs.remove(&run);
             if let Some(job) = self.jobs.get_mut(&no) {
-                job.touched = true;
+                job.started.get_or_insert(now);
                 job.tasks[place].state = TaskState::Waiting(gone);
             }
         }
@@ -514,3 +551,11 @@
         self.steps.push(PlannerStep::Send { link, message });
     }
 }
+
+/// Adds a run to those that are to be stopped over a link.
+fn add_stop(stops: &mut Vec<(LinkNo, Vec<RunKey>)>, link: LinkNo, run: RunKey) {
+    match stops.iter_mut().find(|(l, _)| *l == link) {
+        Some((_, runs)) => runs.push(run),
+        None => stops.push((link, vec![run])),
+    }
+}
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use chervilring_wire::{DomainName, Micros, Name, Resources, Time, UpstreamState};
+use chervilring_wire::{DomainName, Micros, Name, Queued, Resources, Time, UpstreamState};
 
 use super::health::Health;
 use super::speed::Speed;
@@ -31,7 +31,7 @@
     /// Messages of starts sent so far.
     pub(super) number: u64,
     /// Starts that the state does not take into account yet: the message and all it takes.
-    pub(super) unseen: VecDeque<(u64, Resources)>,
+    pub(super) unseen: VecDeque<(u64, Queued)>,
     /// Runs of this planner there.
     pub(super) runs: u32,
     /// The version of the configuration that the runner was told.
@@ -61,18 +61,22 @@
         self.state = Some((state, now));
     }
 
-    /// Returns what is asked of it beyond what runs: what waits there, and what its state does not
-    /// take into account yet.
-    pub(super) fn asked(&self) -> Resources {
+    /// Returns what is asked of it beyond what runs, ahead of a run that can wait for so long: what
+    /// waits there, and what its state does not take into account yet.
+    pub(super) fn ahead(&self, patience: Micros) -> Resources {
         let Some((state, _)) = &self.state else {
             return Resources::default();
         };
-        let sum = |asked: Resources, (_, took): &(u64, Resources)| asked.plus(took);
-        self.unseen.iter().fold(state.queued, sum)
+        let waiting = state
+            .queued
+            .iter()
+            .chain(self.unseen.iter().map(|(_, q)| q));
+        let first = waiting.filter(|q| q.patience <= patience);
+        first.fold(Resources::default(), |sum, q| sum.plus(&q.demand))
     }
 
     /// Notes starts that take so much.
-    pub(super) fn sent(&mut self, took: Resources, runs: u32) -> u64 {
+    pub(super) fn sent(&mut self, took: Queued, runs: u32) -> u64 {
         self.number += 1;
         self.unseen.push_back((self.number, took));
         self.runs += runs;
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -4,7 +4,7 @@
 
 use super::call::{CallOutcome, Lists, Refused};
 use super::event::RunnerEvent;
-use super::state::{RunState, Runner, RunnerStep};
+use super::state::{Run, RunState, Runner, RunnerStep};
 use crate::runs::planner::LinkNo;
 
 /// How soon the upstream is asked again after a call that got no answer.
@@ -82,9 +82,13 @@
         let mut foreign = false;
         for row in &lists.active {
             if let Some(known) = self.runs.get_mut(&row.run) {
-                if known.state == RunState::Queued {
+                let unsure = matches!(known.state, RunState::Unsure(_));
+                if unsure {
                     known.state = RunState::Running(now);
                 }
+                if unsure && known.doomed {
+                    self.stop(row.run);
+                }
                 continue;
             }
             foreign = true;
@@ -118,6 +122,18 @@
         for (run, end) in gone {
             self.end(now, run, end);
         }
+        self.queue_unsure(sent);
+    }
+
+    /// Has runs that the new life has not begun wait for their start: orders of before that come
+    /// late carry a lower fencing token.
+    fn queue_unsure(&mut self, sent: Time) {
+        let unsure = |row: &Run| matches!(row.state, RunState::Unsure(since) if since < sent);
+        self.runs
+            .retain(|_, r| !(unsure(r) && (r.doomed && r.link.is_none())));
+        for row in self.runs.values_mut().filter(|r| unsure(r)) {
+            row.state = RunState::Queued;
+        }
     }
 
     fn tell_progress(&mut self, now: Time, lists: &Lists) {
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use chervilring_wire::{
-    ConfigCopy, DomainName, Micros, Name, PlannerMessage, RefuseReason, Resources, RunEnd, RunKey,
-    RunnerMessage, ServiceName, StartRuns, Time,
+    ConfigCopy, DomainName, Micros, Name, PlannerMessage, Queued, RefuseReason, Resources, RunEnd,
+    RunKey, RunnerMessage, ServiceName, StartRuns, Time,
 };
 
 use super::call::{CallOutcome, Refused, WorkerCall};
@@ -17,6 +17,17 @@
 /// How long runs are assumed to take before the first has ended, in microseconds.
 const FIRST_SPAN: f64 = 150_000.0;
 
+/// The steps in which planners are told how long runs can wait: finer ones would change, and be
+/// told, all the time.
+const PATIENCE: [Micros; 6] = [
+    Micros::from_millis(15),
+    Micros::from_millis(30),
+    Micros::from_millis(60),
+    Micros::from_millis(120),
+    Micros::from_millis(250),
+    Micros::from_millis(500),
+];
+
 /// How much of the past is kept with each run in the mean time that runs take.
 const KEEP: f64 = 0.95;
 
@@ -47,6 +58,9 @@
 pub(super) enum RunState {
     /// It waits for room.
     Queued,
+    /// The upstream was asked to start it, in an earlier life or in this one: lists that were asked
+    /// for after this time tell.
+    Unsure(Time),
     /// The upstream is being asked to start it.
     Starting,
     /// The upstream runs it since this time or a little earlier.
@@ -274,6 +288,25 @@
         waiting.fold(Resources::default(), |sum, run| sum.plus(&run.demand))
     }
 
+    /// Returns what runs that wait for room will take, by how long they can wait.
+    pub(super) fn queue(&self, now: Time) -> Vec<Queued> {
+        let mut rows: Vec<Queued> = Vec::new();
+        for run in self.runs.values().filter(|r| r.state == RunState::Queued) {
+            let left = now.until(run.latest);
+            let edge = PATIENCE.into_iter().find(|&edge| left <= edge);
+            let patience = edge.unwrap_or(Micros(u64::MAX));
+            match rows.iter_mut().find(|row| row.patience == patience) {
+                Some(row) => row.demand = row.demand.plus(&run.demand),
+                None => rows.push(Queued {
+                    patience,
+                    demand: run.demand,
+                }),
+            }
+        }
+        rows.sort_unstable_by_key(|row| row.patience);
+        rows
+    }
+
     pub(super) fn begin_life(&mut self, now: Time, report: Report) {
         let event = RunnerEvent::WorkerUp {
             id: report.life.id.clone(),
@@ -314,7 +347,8 @@
             };
             match row.state {
                 RunState::Queued => {}
-                RunState::Starting if !row.doomed => row.state = RunState::Queued,
+                RunState::Starting if !row.doomed => row.state = RunState::Unsure(now),
+                RunState::Unsure(_) => row.state = RunState::Unsure(now),
                 RunState::Running(_) => row.state = RunState::Running(now),
                 RunState::Starting | RunState::Stopping | RunState::Stopped(_) => {
                     row.state = RunState::Stopping;
@@ -372,15 +406,13 @@
         }
         order.sort_unstable();
         let open = self.is_open();
-        // What an upstream in a new life has runs of is told by its first lists.
-        let fresh = self.worker.as_ref().is_some_and(|w| !w.known && !w.left);
         let mut free = self.free();
         for (latest, run) in order {
             let Some(row) = self.runs.get_mut(&run) else {
                 continue;
             };
             let link = row.link;
-            if now > latest || !(open || fresh) {
+            if now > latest || !open || row.doomed {
                 self.runs.remove(&run);
                 let reason = if open {
                     RefuseReason::Room
@@ -390,7 +422,7 @@
                 self.refuse(run, link, reason);
                 continue;
             }
-            if !open || !free.holds(&row.demand) {
+            if !free.holds(&row.demand) {
                 continue;
             }
             free = free.minus(&row.demand);
@@ -445,7 +477,7 @@
                 self.runs.remove(&run);
                 self.refuse(run, link, RefuseReason::Stopped);
             }
-            RunState::Starting => row.doomed = true,
+            RunState::Starting | RunState::Unsure(_) => row.doomed = true,
             RunState::Running(_) => {
                 row.state = RunState::Stopping;
                 self.call_stop(run);
@@ -464,7 +496,12 @@
         match outcome {
             CallOutcome::Done { .. } | CallOutcome::Listed(_) => {
                 row.state = RunState::Running(now);
-                if row.doomed {
+                let doomed = row.doomed;
+                if let Some(link) = row.link {
+                    let message = RunnerMessage::Started(run);
+                    self.steps.push(RunnerStep::Send { link, message });
+                }
+                if doomed {
                     self.stop(run);
                 }
             }
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -37,7 +37,7 @@
         self.start_queued(now);
         self.hold(now);
         self.log_open();
-        self.tell_states();
+        self.tell_states(now);
         self.check_leave(now);
     }
 
@@ -265,7 +265,7 @@
     }
 
     /// Tells planners the state of the upstream where it has changed.
-    fn tell_states(&mut self) {
+    fn tell_states(&mut self, now: Time) {
         let Some(worker) = &self.worker else {
             return;
         };
@@ -275,7 +275,7 @@
             service: worker.report.service.clone(),
             capacity: worker.report.capacity,
             free: self.free(),
-            queued: self.queued(),
+            queued: self.queue(now),
             span: Micros::from_millis(self.span as u64 / 1_000),
             labels: worker.report.labels.clone(),
         };
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -80,7 +80,7 @@
 }
 
 /// Seeds that once broke a promise, with the cause.
-const FOUND: [(u64, &str); 4] = [
+const FOUND: &[(u64, &str)] = &[
     (
         106,
         "the lease of an upstream without answers was extended by each retry",
@@ -101,7 +101,7 @@
 
 #[test]
 fn found_schedules_hold() {
-    for (seed, cause) in FOUND {
+    for &(seed, cause) in FOUND {
         let violations = play(seed, Without::Nothing).violations;
         assert_eq!(violations, Vec::<String>::new(), "seed {seed}: {cause}");
     }
--- a/crates/chervilring_core/tests/runs/units.rs
+++ b/crates/chervilring_core/tests/runs/units.rs
@@ -1,1 +1,136 @@
-//! To be filled.
+//! The units of the decisions: holding, order, speed, health, lease.
+
+use chervilring_core::runs::planner::{Health, Hold, Speed, hold, urgency};
+use chervilring_core::runs::runner::Lease;
+use chervilring_wire::{Micros, Time};
+use quickcheck::{TestResult, quickcheck};
+
+const MS: fn(u64) -> Micros = Micros::from_millis;
+
+fn at(millis: u64) -> Time {
+    Time(millis * 1_000)
+}
+
+fn ask(objective: u64, deadline: u64, chain: u64) -> Hold {
+    Hold {
+        arrived: at(1_000),
+        objective: at(objective),
+        deadline: at(deadline),
+        chain: MS(chain),
+        share: 0.25,
+    }
+}
+
+#[test]
+fn a_job_is_held_for_a_share_of_its_objective() {
+    assert_eq!(hold(&ask(1_400, 4_000, 100)), at(1_100));
+}
+
+#[test]
+fn a_job_is_not_held_until_it_must_be_late() {
+    assert_eq!(hold(&ask(1_400, 4_000, 350)), at(1_050));
+    assert_eq!(hold(&ask(1_400, 1_300, 250)), at(1_050));
+}
+
+#[test]
+fn a_job_that_is_late_already_is_not_held() {
+    assert_eq!(hold(&ask(1_400, 4_000, 900)), at(1_000));
+}
+
+quickcheck! {
+    fn a_hold_never_outlasts_objective_or_deadline(objective: u16, deadline: u16, chain: u16) -> TestResult {
+        let (objective, deadline) = (1_000 + u64::from(objective), 1_000 + u64::from(deadline));
+        let end = hold(&ask(objective, deadline, u64::from(chain)));
+        let latest = at(objective.min(deadline)) - MS(u64::from(chain));
+        TestResult::from_bool(end >= at(1_000) && end <= latest.max(at(1_000)))
+    }
+
+    fn less_slack_goes_first(objective: u32, chain: u16) -> bool {
+        let objective = Time(u64::from(objective) + 100_000_000);
+        urgency(objective, MS(u64::from(chain) + 1)) < urgency(objective, MS(u64::from(chain)))
+    }
+}
+
+#[test]
+fn speed_follows_what_runs_take() {
+    let mut speed = Speed::default();
+    assert_eq!(speed.run(MS(100)), MS(100));
+    for _ in 0..60 {
+        speed.learn(MS(100), MS(200));
+    }
+    let run = speed.run(MS(100)).as_millis();
+    assert!((185..=205).contains(&run), "{run} ms");
+    for _ in 0..60 {
+        speed.learn(MS(100), MS(50));
+    }
+    let run = speed.run(MS(100)).as_millis();
+    assert!((45..=60).contains(&run), "{run} ms");
+}
+
+#[test]
+fn one_wrong_declaration_moves_the_speed_little() {
+    let mut speed = Speed::default();
+    for _ in 0..30 {
+        speed.learn(MS(100), MS(100));
+    }
+    speed.learn(MS(1), MS(10_000));
+    assert!(speed.run(MS(100)) < MS(130));
+}
+
+#[test]
+fn an_upstream_that_fails_all_is_out_after_two_runs() {
+    let mut health = Health::default();
+    assert!(!health.bad(at(0)));
+    assert!(health.bad(at(10)));
+    assert_eq!(health.limit(at(20)), Some(0));
+    // One run at a time tries it again, and a good one brings it back.
+    assert_eq!(health.limit(at(2_000)), Some(1));
+    health.good();
+    assert_eq!(health.limit(at(2_000)), None);
+}
+
+#[test]
+fn an_upstream_that_goes_on_failing_is_out_for_longer() {
+    let mut health = Health::default();
+    health.bad(at(0));
+    health.bad(at(0));
+    assert_eq!(health.limit(at(1_600)), Some(1));
+    assert!(health.bad(at(1_600)));
+    assert_eq!(health.limit(at(3_200)), Some(0));
+    assert_eq!(health.limit(at(4_700)), Some(1));
+}
+
+#[test]
+fn hopeless_jobs_do_not_put_an_upstream_out() {
+    let mut health = Health::default();
+    for round in 0..200 {
+        if round % 10 == 9 {
+            assert!(!health.bad(at(round)));
+        } else {
+            health.good();
+        }
+        assert_eq!(health.limit(at(round)), None);
+    }
+}
+
+#[test]
+fn a_lease_is_over_only_on_the_slowest_clock() {
+    let mut lease = Lease::default();
+    assert_eq!(lease.extend(at(0), MS(450)), None);
+    lease.read(at(0), 5_000);
+    assert_eq!(lease.extend(at(100), MS(450)), Some(5_550));
+    // 550 ms of a clock that may be 2% slow.
+    assert!(
+        lease.over() >= at(561) && lease.over() <= at(564),
+        "{:?}",
+        lease.over()
+    );
+}
+
+#[test]
+fn a_late_reading_of_the_clock_is_ignored() {
+    let mut lease = Lease::default();
+    lease.read(at(100), 5_100);
+    lease.read(at(200), 5_000);
+    assert_eq!(lease.extend(at(100), MS(10)), Some(5_110));
+}
--- a/crates/chervilring_core/tests/runs/world.rs
+++ b/crates/chervilring_core/tests/runs/world.rs
@@ -22,6 +22,9 @@
 /// After this a call without an answer is given up.
 const CALL_TIME: u64 = 60_000;
 
+/// How long an upstream holds back its lists; in truth it answers as soon as there is an end.
+const HOLD: u64 = 6_000;
+
 /// Time between looks of a process at its clock.
 const TICK: u64 = 20_000;
 
@@ -706,7 +709,7 @@
             if lease.is_some() {
                 self.carry(r, &call);
             }
-            self.at(20_000, Happening::HoldEnds(r, life, now, call));
+            self.at(HOLD, Happening::HoldEnds(r, life, now, call));
             return;
         }
         let outcome = self.carry(r, &call);
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -22,8 +22,8 @@
 };
 pub use ring::{Doubt, Member, OldRing, Ring, home_name};
 pub use run::{
-    ConfigCopy, JobId, PlannerMessage, RefuseReason, Resources, RunEnd, RunKey, RunnerMessage,
-    StartRuns, UpstreamState,
+    ConfigCopy, JobId, PlannerMessage, Queued, RefuseReason, Resources, RunEnd, RunKey,
+    RunnerMessage, StartRuns, UpstreamState,
 };
 pub use submission::{
     Failure, Kind, Origin, Progress, Query, Reason, Reply, Submission, TaskOutcome, TaskOutput,
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -154,6 +154,8 @@
     Beat(u64),
     /// The state of the upstream, after each change.
     State(UpstreamState),
+    /// A run that the upstream has begun.
+    Started(RunKey),
     /// A run that has not started and will not.
     Refused {
         /// The run.
@@ -187,14 +189,23 @@
     pub capacity: Resources,
     /// What is not taken by runs.
     pub free: Resources,
-    /// What runs that wait for room will take.
-    pub queued: Resources,
+    /// What runs that wait for room will take, the most urgent first.
+    pub queued: Vec<Queued>,
     /// How long runs have taken of late, in whole milliseconds.
     pub span: Micros,
     /// The labels of the worker; its rack is one of them.
     pub labels: Vec<Name>,
 }
 
+/// Runs that wait for room on an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Queued {
+    /// For how much longer it is of use to start them, at most.
+    pub patience: Micros,
+    /// What they will take together.
+    pub demand: Resources,
+}
+
 /// Why a run was not started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefuseReason {
