--- a/crates/chervilring/src/commands/runner.rs
+++ b/crates/chervilring/src/commands/runner.rs
@@ -16,7 +16,7 @@
     example = "{command_name} --settings local.toml"
 )]
 pub struct RunnerCommand {
-    /// the settings file [the path in CHERVILRING_SETTINGS]
+    /// the settings file [`CHERVILRING_SETTINGS`]
     #[argh(option)]
     settings: Option<PathBuf>,
     /// check the settings and exit
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -5,6 +5,7 @@
 use super::call::{CallOutcome, Lists, Refused};
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
+use super::worker::Contact;
 use crate::runs::planner::LinkNo;
 
 /// How soon the upstream is asked again after a call that got no answer.
@@ -29,26 +30,17 @@
                     self.reborn(now, lists.born);
                     return;
                 }
-                worker.answers = true;
-                worker.lapsed = false;
+                worker.contact = Contact::Well;
                 self.take_lists(now, sent, &lists);
             }
             CallOutcome::Refused {
                 why: Refused::Fence,
                 ..
             } => self.raise_fence(),
-            CallOutcome::Refused {
-                why: Refused::OtherLife,
-                ..
-            } => {
-                worker.answers = false;
-                worker.retry = now + RETRY;
-            }
             _ => {
-                let first = worker.answers;
-                worker.answers = false;
                 worker.retry = now + RETRY;
-                if first {
+                if worker.contact == Contact::Well {
+                    worker.contact = Contact::Missed;
                     self.log_no_answer(None, "hold");
                 }
             }
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -193,7 +193,7 @@
     /// Takes in that the upstream ends; `id` is the one that it has announced.
     pub fn left(&mut self, now: Time, id: &str) {
         if let Some(worker) = self.worker.as_mut().filter(|w| &*w.report.life.id == id) {
-            worker.left = true;
+            worker.report.state = WorkerState::Left;
         }
         self.tick(now);
     }
@@ -511,7 +511,7 @@
                 let drains = self
                     .worker
                     .as_ref()
-                    .is_none_or(|w| w.report.state == WorkerState::Draining);
+                    .is_none_or(|w| w.report.state != WorkerState::Ready);
                 if row_doomed(&self.runs, &run) || drains {
                     self.set_state(run, RunState::Stopping);
                     self.call_stop(run);
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -2,10 +2,10 @@
 
 use chervilring_wire::{Micros, RunEnd, RunKey, RunnerMessage, Time, UpstreamState};
 
-use super::call::{CallOutcome, WorkerCall};
+use super::call::{CallOutcome, Refused, WorkerCall};
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
-use super::worker::{Worker, WorkerState};
+use super::worker::{Contact, Worker, WorkerState};
 use crate::runs::bounds::{BEAT, LEASE};
 use crate::runs::planner::LinkNo;
 
@@ -52,7 +52,7 @@
             if !worker.held {
                 wake = wake.min(worker.retry);
             }
-            if !worker.lapsed && worker.silent {
+            if worker.contact == Contact::Silent {
                 wake = wake.min(worker.lease.over());
             }
         }
@@ -106,7 +106,14 @@
         if let Some(clock) = clock {
             worker.lease.read(now, clock);
         }
-        if *outcome != CallOutcome::Lost {
+        let other = matches!(
+            outcome,
+            CallOutcome::Refused {
+                why: Refused::OtherLife,
+                ..
+            }
+        );
+        if *outcome != CallOutcome::Lost && !other {
             worker.heard = now;
         }
     }
@@ -158,13 +165,13 @@
         }
         // What an earlier life of this runner has started is not kept alive. An upstream whose
         // answers are lost may still hear the calls: its lease must end all the same.
-        let lease = if worker.known && !worker.silent && !idle {
+        let lease = if worker.known && !worker.is_silent() && !idle {
             worker.lease.extend(now, span)
         } else {
             None
         };
         worker.held = true;
-        let wait = match (worker.known && worker.answers, idle) {
+        let wait = match (worker.known && worker.contact == Contact::Well, idle) {
             (true, true) => IDLE_WAIT,
             (true, false) => WAIT,
             (false, _) => Micros::default(),
@@ -184,7 +191,12 @@
 
     fn check_silence(&mut self, now: Time) {
         if let Some(worker) = &mut self.worker {
-            worker.silent = now.since(worker.heard) > UPSTREAM_SILENCE;
+            let silent = now.since(worker.heard) > UPSTREAM_SILENCE;
+            match (silent, worker.is_silent()) {
+                (true, false) => worker.contact = Contact::Silent,
+                (false, true) => worker.contact = Contact::Missed,
+                _ => {}
+            }
         }
     }
 
@@ -193,10 +205,10 @@
         let Some(worker) = &mut self.worker else {
             return;
         };
-        if worker.lapsed || !worker.silent || now < worker.lease.over() {
+        if worker.contact != Contact::Silent || now < worker.lease.over() {
             return;
         }
-        worker.lapsed = true;
+        worker.contact = Contact::Lapsed;
         let id = worker.report.life.id.clone();
         let told = self.runs.iter_mut().filter(|(_, r)| r.link.is_some());
         let mut runs = 0;
@@ -326,13 +338,13 @@
     if leaving {
         return "runner leaves";
     }
-    if worker.left {
+    if worker.report.state == WorkerState::Left {
         return "upstream has left";
     }
     if worker.report.state == WorkerState::Draining {
         return "upstream drains";
     }
-    if worker.silent {
+    if worker.is_silent() {
         return "upstream does not answer";
     }
     if !worker.known {
--- a/crates/chervilring_core/src/runs/runner/worker.rs
+++ b/crates/chervilring_core/src/runs/runner/worker.rs
@@ -13,6 +13,21 @@
     Ready,
     /// It is leaving.
     Draining,
+    /// It has said that it ends.
+    Left,
+}
+
+/// How an upstream answers, from well to worse.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Contact {
+    /// It has answered the newest call for its lists.
+    Well,
+    /// The newest call for its lists got no answer.
+    Missed,
+    /// It has not answered any call for too long.
+    Silent,
+    /// So long that its lease is over: all that ran was reported as lapsed.
+    Lapsed,
 }
 
 /// What an upstream says of itself.
@@ -45,20 +60,14 @@
     pub(super) acked: u64,
     /// Whether its lists have been read in this life, so that all that runs is known.
     pub(super) known: bool,
-    /// Whether it has answered its newest call for the lists.
-    pub(super) answers: bool,
+    /// How it answers.
+    pub(super) contact: Contact,
     /// When it has last answered any call.
     pub(super) heard: Time,
-    /// Whether it has not answered for too long.
-    pub(super) silent: bool,
     /// Whether a call for the lists is under way.
     pub(super) held: bool,
     /// When to ask for the lists again after a call that got no answer.
     pub(super) retry: Time,
-    /// Whether all that ran was reported as lapsed since it last answered.
-    pub(super) lapsed: bool,
-    /// Whether it has said that it ends.
-    pub(super) left: bool,
     /// Whether what is known of it was said of this life.
     pub(super) described: bool,
 }
@@ -70,23 +79,22 @@
             lease: Lease::default(),
             acked: 0,
             known: false,
-            answers: false,
+            contact: Contact::Silent,
             heard: Time::default(),
-            silent: true,
             held: false,
             retry: Time::default(),
-            lapsed: false,
-            left: false,
             described: true,
         }
     }
 
     /// Returns whether it takes new runs.
     pub(super) fn is_open(&self) -> bool {
-        self.known
-            && !self.silent
-            && self.described
-            && !self.left
-            && self.report.state == WorkerState::Ready
+        let ready = self.report.state == WorkerState::Ready;
+        ready && self.known && self.described && !self.is_silent()
+    }
+
+    /// Returns whether it has not answered any call for too long.
+    pub(super) fn is_silent(&self) -> bool {
+        matches!(self.contact, Contact::Silent | Contact::Lapsed)
     }
 }
--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -364,18 +364,18 @@
         comeback,
         body,
     } = answer;
-    let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(*status));
+    let mut head = vec![format!("HTTP/1.1 {status} {}", reason(*status))];
     if !body.is_empty() {
-        head += &format!("Content-Type: {media}\r\n");
+        head.push(format!("Content-Type: {media}"));
     }
     if let Some(seconds) = comeback {
-        head += &format!("Retry-After: {seconds}\r\n");
+        head.push(format!("Retry-After: {seconds}"));
     }
     if close {
-        head += "Connection: close\r\n";
+        head.push("Connection: close".to_owned());
     }
-    head += &format!("Content-Length: {}\r\n\r\n", body.len());
-    out.extend_from_slice(head.as_bytes());
+    head.push(format!("Content-Length: {}\r\n\r\n", body.len()));
+    out.extend_from_slice(head.join("\r\n").as_bytes());
     out.extend_from_slice(body);
 }
 
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -156,11 +156,11 @@
 ) -> eyre::Result<()> {
     let tell = inbox.clone();
     registry::follow_config(registry.clone(), move |event| {
-        tell.push(Event::Store(event))
+        tell.push(Event::Store(event));
     });
     let tell = inbox.clone();
     registry::keep_listed(registry, runners, move |event| {
-        tell.push(Event::Store(event))
+        tell.push(Event::Store(event));
     });
     let tell = inbox.clone();
     signals::on_signal(move |asked| tell.push(Event::Asked(asked)))?;
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -180,10 +180,10 @@
     round: u32,
 ) -> Result<(), StoreError> {
     let key = format!("{MEMBERS}{addr}");
-    if let Some(id) = lease.filter(|_| round.is_multiple_of(RENEW_EVERY)) {
-        if !(registry.renew)(id)? {
-            *lease = None;
-        }
+    if let Some(id) = lease.filter(|_| round.is_multiple_of(RENEW_EVERY))
+        && !(registry.renew)(id)?
+    {
+        *lease = None;
     }
     let listed = round != 0 && (registry.list)(MEMBERS)?.iter().any(|p| p.key == key);
     if listed && lease.is_some() {
--- a/crates/chervilring_daemon/src/runs/runner_report.rs
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -46,7 +46,7 @@
         match event {
             RunnerEvent::Taken { runs, .. } => self.taken.add(u64::from(*runs), &[]),
             RunnerEvent::Refused { .. } | RunnerEvent::NotStarted { .. } => {
-                self.refused.add(1, &[])
+                self.refused.add(1, &[]);
             }
             RunnerEvent::NoAnswer { .. } => self.unanswered.add(1, &[]),
             RunnerEvent::LinkLost { .. } => self.lost.add(1, &[]),
