--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -42,6 +42,8 @@
     Answered {
         /// The job.
         job: JobId,
+        /// The name that its caller has given this sending.
+        request: Name,
         /// The route.
         route: Name,
         /// The version of the configuration that had the route.
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -41,6 +41,8 @@
     pub version: u64,
     /// What its tasks are told.
     pub spec: Name,
+    /// The name that its caller has given this sending; empty for none.
+    pub request: Name,
     /// Its steps; a step comes after those that it waits for.
     pub steps: Vec<Step>,
     /// When the caller stops waiting.
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -350,6 +350,10 @@
 
     /// Ends a job that is done, or that can no longer be served.
     pub(super) fn settle(&mut self, now: Time, no: u64) {
+        if let Some(job) = self.jobs.get_mut(&no) {
+            // One that was called back and has begun all the same goes on.
+            job.withdrawn = job.withdrawn && job.started.is_none();
+        }
         let Some(job) = self.jobs.get(&no) else {
             return;
         };
@@ -368,9 +372,7 @@
             self.withdraw(now, no, why);
             return;
         }
-        // One that was to be refused and has begun all the same is of no use half done.
-        let begun = job.withdrawn && job.started.is_some();
-        if begun || now >= job.new.deadline || self.is_hopeless(now, job) {
+        if now >= job.new.deadline || self.is_hopeless(now, job) {
             self.give_up(now, no, Refusal::Overload);
         }
     }
@@ -437,6 +439,7 @@
         };
         let event = PlannerEvent::Answered {
             job: job.new.id,
+            request: job.new.request.clone(),
             route: job.new.route.name.clone(),
             version: job.new.version,
             answer,
--- a/crates/chervilring_core/tests/runs/world.rs
+++ b/crates/chervilring_core/tests/runs/world.rs
@@ -825,6 +825,7 @@
         route: route(),
         version: 1,
         spec: "x".into(),
+        request: "".into(),
         steps: vec![Step {
             count: job.count,
             demand: job.demand,
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -31,6 +31,7 @@
         }
         PlannerEvent::Answered {
             job,
+            request,
             route,
             version,
             answer,
@@ -39,7 +40,7 @@
             starts,
             met,
         } => {
-            info!(log, "answered"; "job" => %job, "route" => &**route, "config" => version,
+            info!(log, "answered"; "job" => %job, "request" => &**request, "route" => &**route, "config" => version,
                 "answer" => ?answer, "took_us" => span.0, "waited_us" => wait.map(|w| w.0),
                 "starts" => starts, "objective_met" => met);
         }
