Split what had grown large; the store's crate has the name of what it holds

What both daemons are told by threads, and their metrics, stand once (runs/told). chervilring_platform is chervilring_store now: the adapter for the platform is another crate.

--- a/crates/chervilring/src/commands/note.rs
+++ b/crates/chervilring/src/commands/note.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use chervilring_core::config::{AuditRecord, Note};
-use chervilring_platform::{Accepted, ConfigStore, SubmitError};
+use chervilring_store::{Accepted, ConfigStore, SubmitError};
 use chervilring_wire::Revision;
 use serde_json::json;
 
--- a/crates/chervilring/src/commands/store.rs
+++ b/crates/chervilring/src/commands/store.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use chervilring_daemon::settings::Source;
-use chervilring_platform::{ConfigStore, StoreError, StoreSettings};
+use chervilring_store::{ConfigStore, StoreError, StoreSettings};
 use chervilring_wire::{Name, Stamp, Verdict};
 
 use crate::exit::{ExitStatus, Failed};
--- /dev/null
+++ b/crates/chervilring_core/src/runs/planner/ends.rs
@@ -0,0 +1,145 @@
+//! What runners tell of runs.
+
+use chervilring_wire::{Micros, Name, PlannerMessage, RunEnd, RunKey, Time};
+
+use super::event::{LossCause, PlannerEvent};
+use super::job::TaskState;
+use super::links::LinkNo;
+use super::state::{JobAnswer, Planner, PlannerStep};
+
+/// How long a run may stand at the same percentage before it is stopped and started elsewhere.
+const STALL: Micros = Micros::from_millis(500);
+
+impl Planner {
+    /// Returns whether a run is known and was sent over a link.
+    pub(super) fn is_at(&self, run: &RunKey, link: LinkNo) -> bool {
+        let place = self.runs.get(run);
+        let task = place.and_then(|(no, place)| self.jobs.get(no)?.tasks.get(*place));
+        task.is_some_and(|t| match t.state {
+            TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => l == link,
+            TaskState::Waiting(_) | TaskState::Done => false,
+        })
+    }
+
+    pub(super) fn count_down(&mut self, link: LinkNo) {
+        if let Some(upstream) = self.links.get_mut(&link) {
+            upstream.runs = upstream.runs.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Time,
+        link: LinkNo,
+        run: RunKey,
+        (end, span): (RunEnd, Micros),
+    ) {
+        let Some(&(no, place)) = self.runs.get(&run) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&no) else {
+            return;
+        };
+        let size = job.step(place).size;
+        job.started.get_or_insert(now);
+        let task = &mut job.tasks[place];
+        let name = self.links.get(&link).map(|u| u.name.clone());
+        let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
+        match end {
+            RunEnd::Done => {
+                if let Some(profile) = profile {
+                    profile.speed.learn(size, span);
+                    profile.health.good();
+                }
+                task.state = TaskState::Done;
+                self.runs.remove(&run);
+                self.settle(now, no);
+            }
+            RunEnd::Failed => {
+                task.failed += 1;
+                task.avoid.clone_from(&name);
+                let over = task.failed >= job.new.route.attempts.max(1);
+                if profile.is_some_and(|p| p.health.bad(now)) {
+                    self.log_out(name);
+                }
+                if over {
+                    self.log_lost(run, LossCause::Ended(end));
+                    self.finish(now, no, JobAnswer::Failed);
+                } else {
+                    self.restart(now, run, LossCause::Ended(end));
+                }
+            }
+            RunEnd::Stopped | RunEnd::Lapsed => self.restart(now, run, LossCause::Ended(end)),
+        }
+    }
+
+    /// Has a task started again after its newest run has come to nothing.
+    pub(super) fn restart(&mut self, now: Time, run: RunKey, cause: LossCause) {
+        self.changed = true;
+        let Some((no, place)) = self.runs.get(&run).copied() else {
+            return;
+        };
+        self.log_lost(run, cause);
+        self.runs.remove(&run);
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.tasks[place].state = TaskState::Waiting(now);
+        }
+        self.settle(now, no);
+    }
+
+    /// Takes in how far runs have got, and stops those that stand still.
+    pub(super) fn progress(&mut self, now: Time, rows: &[(RunKey, u8)]) {
+        for (run, percent) in rows {
+            let Some(&(no, place)) = self.runs.get(run) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&no) else {
+                continue;
+            };
+            let task = &mut job.tasks[place];
+            let TaskState::Sent { link, at } = task.state else {
+                continue;
+            };
+            let (last, grew) = task.progress;
+            if *percent != last || grew < at {
+                task.progress = (*percent, now);
+                continue;
+            }
+            if now.since(grew) < STALL {
+                continue;
+            }
+            task.state = TaskState::Stopping(link);
+            let name = self.links.get(&link).map(|u| u.name.clone());
+            task.avoid.clone_from(&name);
+            let message = PlannerMessage::Stop(vec![*run]);
+            self.steps.push(PlannerStep::Send { link, message });
+            self.log_lost(*run, LossCause::Stalled);
+            let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
+            if profile.is_some_and(|p| p.health.bad(now)) {
+                self.log_out(name);
+            }
+        }
+    }
+
+    fn log_lost(&mut self, run: RunKey, cause: LossCause) {
+        let link = self.runs.get(&run).and_then(|(no, place)| {
+            match self.jobs.get(no)?.tasks[*place].state {
+                TaskState::Sent { link, .. } | TaskState::Stopping(link) => Some(link),
+                TaskState::Waiting(_) | TaskState::Done => None,
+            }
+        });
+        let upstream = link.and_then(|l| self.links.get(&l));
+        let runner = upstream.map(|u| u.name.clone());
+        let event = PlannerEvent::RunLost { run, runner, cause };
+        self.steps.push(PlannerStep::Log(event));
+    }
+
+    fn log_out(&mut self, name: Option<Name>) {
+        let Some(runner) = name else {
+            return;
+        };
+        let speed = self.profiles.get(&runner).map_or(1.0, |p| p.speed.value());
+        let event = PlannerEvent::UpstreamOut { runner, speed };
+        self.steps.push(PlannerStep::Log(event));
+    }
+}
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -1,13 +1,16 @@
 //! The decisions of a planner: which job runs when and where, and which is refused.
 
 mod admission;
+mod ends;
 mod event;
 mod health;
 mod job;
 mod links;
 mod order;
 mod placement;
+mod placing;
 mod settings;
+mod settling;
 mod speed;
 mod state;
 mod systems;
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -5,7 +5,10 @@
 mod lease;
 mod links;
 mod lists;
+mod lives;
+mod starts;
 mod state;
+mod stops;
 mod systems;
 mod worker;
 
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -0,0 +1,199 @@
+//! Runs from being asked for to their start or refusal.
+
+use std::collections::BTreeMap;
+
+use chervilring_wire::{
+    RefuseReason, Resources, RunKey, RunnerMessage, ServiceName, StartRuns, Time,
+};
+
+use super::call::{CallOutcome, Refused};
+use super::event::RunnerEvent;
+use super::state::{Run, RunState, Runner, RunnerStep};
+use super::worker::WorkerState;
+use crate::runs::planner::LinkNo;
+
+impl Runner {
+    /// Takes on or refuses runs; those taken on start as soon as there is room.
+    pub(super) fn start(&mut self, now: Time, link: LinkNo, start: StartRuns) {
+        let Some(row) = self.links.get_mut(&link).filter(|l| l.greeted) else {
+            return;
+        };
+        row.number = start.number;
+        let free = self.free();
+        let first = start.runs.first().copied();
+        let mut taken = 0;
+        for run in start.runs {
+            if let Some(reason) = self.refusal(&start.service, &run, &start.demand) {
+                self.refuse(run, Some(link), reason);
+                continue;
+            }
+            taken += 1;
+            let row = Run {
+                link: Some(link),
+                demand: start.demand,
+                spec: start.spec.clone(),
+                state: RunState::Queued,
+                doomed: false,
+                taken: now,
+                latest: now + start.patience,
+            };
+            self.runs.insert(run, row);
+        }
+        if let (Some(run), true) = (first, taken > 0) {
+            let event = RunnerEvent::Taken {
+                run,
+                runs: taken,
+                free,
+            };
+            self.steps.push(RunnerStep::Log(event));
+        }
+        self.start_queued(now);
+    }
+
+    /// Starts the runs that wait, the most urgent first, as far as there is room.
+    pub(super) fn start_queued(&mut self, now: Time) {
+        let waits = |(run, row): (&RunKey, &Run)| {
+            (row.state == RunState::Queued).then_some((row.latest, *run))
+        };
+        let mut order: Vec<(Time, RunKey)> = self.runs.iter().filter_map(waits).collect();
+        if order.is_empty() {
+            return;
+        }
+        order.sort_unstable();
+        let open = self.is_open();
+        let mut free = self.free();
+        for (latest, run) in order {
+            let Some(row) = self.runs.get_mut(&run) else {
+                continue;
+            };
+            let link = row.link;
+            if now > latest || !open || row.doomed {
+                self.runs.remove(&run);
+                let reason = if open {
+                    RefuseReason::Room
+                } else {
+                    RefuseReason::Closed
+                };
+                self.refuse(run, link, reason);
+                continue;
+            }
+            if !free.holds(&row.demand) {
+                continue;
+            }
+            free = free.minus(&row.demand);
+            row.state = RunState::Starting;
+            self.call_start(now, run);
+        }
+    }
+
+    /// Tells a planner that a run is not started and will not be.
+    pub(super) fn refuse(&mut self, run: RunKey, link: Option<LinkNo>, reason: RefuseReason) {
+        let free = self.free();
+        let event = RunnerEvent::Refused { run, reason, free };
+        self.steps.push(RunnerStep::Log(event));
+        if let Some(link) = link {
+            let message = RunnerMessage::Refused { run, reason };
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    /// Returns why a run is not taken on, if it is not.
+    fn refusal(
+        &self,
+        service: &ServiceName,
+        run: &RunKey,
+        demand: &Resources,
+    ) -> Option<RefuseReason> {
+        let Some(worker) = self.worker.as_ref().filter(|_| self.is_open()) else {
+            return Some(RefuseReason::Closed);
+        };
+        if worker.report.service != *service {
+            return Some(RefuseReason::Closed);
+        }
+        // Another run of the same task is still here, for another planner or being stopped.
+        let task = |r: &RunKey| (r.job, r.occurrence, r.step, r.index);
+        let twin = self.runs.keys().any(|r| task(r) == task(run));
+        let capacity = &worker.report.capacity;
+        let queue = self.queued().plus(demand);
+        if twin || !capacity.holds(demand) || !capacity.holds(&queue) {
+            return Some(RefuseReason::Room);
+        }
+        None
+    }
+
+    pub(super) fn start_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
+        let Some(row) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if row.state != RunState::Starting {
+            return;
+        }
+        match outcome {
+            CallOutcome::Done { .. } | CallOutcome::Listed(_) => {
+                row.state = RunState::Running(now);
+                let doomed = row.doomed;
+                if let Some(link) = row.link {
+                    let message = RunnerMessage::Started(run);
+                    self.steps.push(RunnerStep::Send { link, message });
+                }
+                if doomed {
+                    self.stop(run);
+                }
+            }
+            CallOutcome::Refused { why, .. } => self.start_refused(now, run, *why),
+            CallOutcome::Lost => {
+                self.log_no_answer(Some(run), "start");
+                let drains = self
+                    .worker
+                    .as_ref()
+                    .is_none_or(|w| w.report.state != WorkerState::Ready);
+                if row_doomed(&self.runs, &run) || drains {
+                    self.set_state(run, RunState::Stopping);
+                    self.call_stop(run);
+                } else {
+                    self.call_start(now, run);
+                }
+            }
+        }
+    }
+
+    fn start_refused(&mut self, now: Time, run: RunKey, why: Refused) {
+        let doomed = row_doomed(&self.runs, &run);
+        match why {
+            Refused::Fence => {
+                self.raise_fence();
+                if !doomed {
+                    self.call_start(now, run);
+                    return;
+                }
+            }
+            Refused::Late if !doomed => {
+                self.call_start(now, run);
+                return;
+            }
+            _ => {}
+        }
+        self.steps
+            .push(RunnerStep::Log(RunnerEvent::NotStarted { run, why }));
+        let reason = match why {
+            Refused::Old => RefuseReason::Old,
+            Refused::Invalid => RefuseReason::Invalid,
+            Refused::Unhealthy => RefuseReason::Unhealthy,
+            Refused::Room => RefuseReason::Room,
+            Refused::OtherLife => RefuseReason::Closed,
+            Refused::Fence | Refused::Late => RefuseReason::Stopped,
+        };
+        let Some(row) = self.runs.remove(&run) else {
+            return;
+        };
+        if let Some(link) = row.link {
+            let message = RunnerMessage::Refused { run, reason };
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+}
+
+/// Returns whether a run is to be stopped as soon as its start is answered.
+fn row_doomed(runs: &BTreeMap<RunKey, Run>, run: &RunKey) -> bool {
+    runs.get(run).is_some_and(|r| r.doomed)
+}
--- /dev/null
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -0,0 +1,93 @@
+//! Runs that are stopped or have ended.
+
+use chervilring_wire::{RefuseReason, RunEnd, RunKey, RunnerMessage, Time};
+
+use super::call::{CallOutcome, Refused};
+use super::event::RunnerEvent;
+use super::state::{RunState, Runner, RunnerStep};
+
+/// How much of the past is kept with each run in the mean time that runs take.
+const KEEP: f64 = 0.95;
+
+impl Runner {
+    /// Has a run stopped.
+    pub(super) fn stop(&mut self, run: RunKey) {
+        let Some(row) = self.runs.get_mut(&run) else {
+            return;
+        };
+        match row.state {
+            RunState::Queued => {
+                let link = row.link;
+                self.runs.remove(&run);
+                self.refuse(run, link, RefuseReason::Stopped);
+            }
+            RunState::Starting | RunState::Unsure(_) => row.doomed = true,
+            RunState::Running(_) => {
+                row.state = RunState::Stopping;
+                self.call_stop(run);
+            }
+            RunState::Stopping | RunState::Stopped(_) => {}
+        }
+    }
+
+    pub(super) fn stop_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
+        let stopping = self
+            .runs
+            .get(&run)
+            .is_some_and(|r| r.state == RunState::Stopping);
+        if !stopping {
+            return;
+        }
+        match outcome {
+            CallOutcome::Lost => {
+                self.log_no_answer(Some(run), "stop");
+                self.call_stop(run);
+            }
+            CallOutcome::Refused {
+                why: Refused::Fence,
+                ..
+            } => {
+                self.raise_fence();
+                self.call_stop(run);
+            }
+            CallOutcome::Refused {
+                why: Refused::Unhealthy,
+                ..
+            } => self.call_stop(run),
+            // Whether it ran to its end before is told by the next lists.
+            _ => self.set_state(run, RunState::Stopped(now)),
+        }
+    }
+
+    pub(super) fn set_state(&mut self, run: RunKey, state: RunState) {
+        if let Some(row) = self.runs.get_mut(&run) {
+            row.state = state;
+        }
+    }
+
+    /// Tells the planner that a run has ended and gives its resources back.
+    pub(super) fn end(&mut self, now: Time, run: RunKey, end: RunEnd) {
+        let Some(row) = self.runs.remove(&run) else {
+            return;
+        };
+        let since = match row.state {
+            RunState::Running(since) => since,
+            _ => row.taken,
+        };
+        let span = now.since(since);
+        if end == RunEnd::Done {
+            self.span = self.span * KEEP + span.0 as f64 * (1.0 - KEEP);
+        }
+        self.steps
+            .push(RunnerStep::Log(RunnerEvent::Ended { run, end, span }));
+        if let Some(link) = row.link {
+            let message = RunnerMessage::Ended { run, end, span };
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
+    pub(super) fn log_no_answer(&mut self, run: Option<RunKey>, call: &'static str) {
+        let event = RunnerEvent::NoAnswer { run, call };
+        self.steps.push(RunnerStep::Log(event));
+    }
+}
--- a/crates/chervilring_core/tests/runs/world.rs
+++ b/crates/chervilring_core/tests/runs/world.rs
@@ -600,21 +600,13 @@
     }
 
     fn wake_planner(&mut self, p: usize, act: impl FnOnce(&mut Planner, Time)) {
-        let now = self.now;
         let watch = self.without != Without::PauseWatch;
-        let row = &mut self.planners[p];
-        let Some(core) = &mut row.core else {
+        let Some((core, local, gap)) = wake(&mut self.planners[p], self.now) else {
             return;
         };
-        if now < row.frozen {
-            return;
-        }
-        let gap = row.looked.until(now);
-        row.looked = now;
         if gap > PAUSE_LIMIT && watch {
-            core.paused(Time(now.0 - row.skew), gap);
+            core.paused(local, gap);
         }
-        let local = Time(now.0 - row.skew);
         act(core, local);
         core.tick(local);
         let steps = core.drain();
@@ -656,21 +648,13 @@
     }
 
     fn wake_runner(&mut self, r: usize, act: impl FnOnce(&mut Runner, Time)) {
-        let now = self.now;
         let watch = self.without != Without::PauseWatch;
-        let row = &mut self.runners[r];
-        let Some(core) = &mut row.core else {
+        let Some((core, local, gap)) = wake(&mut self.runners[r], self.now) else {
             return;
         };
-        if now < row.frozen {
-            return;
-        }
-        let gap = row.looked.until(now);
-        row.looked = now;
         if gap > PAUSE_LIMIT && watch {
-            core.paused(Time(now.0 - row.skew), gap);
+            core.paused(local, gap);
         }
-        let local = Time(now.0 - row.skew);
         act(core, local);
         core.tick(local);
         let steps = core.drain();
@@ -792,6 +776,18 @@
     }
 }
 
+/// Returns what a process decides with, its own time and how long it has not looked; none while it
+/// does not run.
+fn wake<T>(process: &mut Process<T>, now: Time) -> Option<(&mut T, Time, Micros)> {
+    if now < process.frozen {
+        return None;
+    }
+    let core = process.core.as_mut()?;
+    let gap = process.looked.until(now);
+    process.looked = now;
+    Some((core, Time(now.0 - process.skew), gap))
+}
+
 /// Has a process stand still. Every other time its host is suspended: the steady clock stands
 /// still as well.
 fn freeze<T>(process: &mut Process<T>, now: Time, span: u64) {
--- a/crates/chervilring_daemon/src/entry/setup.rs
+++ b/crates/chervilring_daemon/src/entry/setup.rs
@@ -9,7 +9,7 @@
 use chervilring_core::dispatch::{DispatchSettings, Dispatcher};
 use chervilring_core::entry::{Entry, Limits};
 use chervilring_core::membership::{MemberSettings, Membership};
-use chervilring_platform::{ConfigStore, RingStore, StoreSettings};
+use chervilring_store::{ConfigStore, RingStore, StoreSettings};
 use chervilring_wire::{EntryId, Incarnation, Member};
 use eyre::{Result, WrapErr, eyre};
 use slog::{Logger, info};
--- a/crates/chervilring_daemon/src/entry/store.rs
+++ b/crates/chervilring_daemon/src/entry/store.rs
@@ -7,7 +7,7 @@
 
 use chervilring_core::config::Config;
 use chervilring_core::membership::{StoreCall, StoreEvent};
-use chervilring_platform::{CatchUp, ConfigStore, RingStore, StoreError};
+use chervilring_store::{CatchUp, ConfigStore, RingStore, StoreError};
 use chervilring_wire::{ConfigBlob, Revision};
 use slog::{Logger, info, warn};
 
--- a/crates/chervilring_daemon/src/runs/mod.rs
+++ b/crates/chervilring_daemon/src/runs/mod.rs
@@ -15,6 +15,7 @@
 mod runner_log;
 mod runner_report;
 mod settings;
+mod told;
 
 pub use dialect::{CallerCall, CallerDialect, WorkerDialect, WorkerNotice};
 pub use planner::run_planner;
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -1,7 +1,6 @@
 //! The planner daemon: carries the decisions of a planner to sockets.
 
 use std::net::SocketAddr;
-use std::thread;
 use std::time::Duration;
 
 use chervilring_core::runs::planner::{Caller, LinkNo, PlannerSettings, PlannerStep};
@@ -18,12 +17,13 @@
 use super::planner_report::PlannerReport;
 use super::registry::{self, Registry, StoreEvent};
 use super::settings::{PlannerConfig, Reload};
+use super::told::{self, Told};
 use crate::log;
 use crate::net::{
     Clock, ConnNo, EventLoop, HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId,
     LinkState, Links, Listener,
 };
-use crate::signals::{self, Asked};
+use crate::signals::Asked;
 
 /// The longest span between two looks at the clock.
 const TICK: Duration = Duration::from_millis(50);
@@ -41,18 +41,9 @@
 /// What of the grace period is left for answers to leave and the process to end.
 const EXIT_TIME: Micros = Micros::from_millis(900);
 
-/// Time between looks at the settings and at stale connections.
+/// Time between looks at stale connections.
 const SWEEP: Micros = Micros::from_secs(1);
 
-/// What comes from other threads.
-#[derive(Debug)]
-enum Event {
-    Store(StoreEvent),
-    Asked(Asked),
-    Settings(PlannerConfig),
-    BadSettings(eyre::Report),
-}
-
 /// What the actor works with.
 struct Parts {
     planner: Planner,
@@ -95,7 +86,10 @@
     let poll = event_loop.poll.clone();
     let stakker = &mut event_loop.stakker;
     let actor: ActorOwn<PlannerActor> = actor_new!(stakker, PlannerActor, ret_shutdown!(stakker));
-    let inbox = Inbox::new(stakker, fwd_to!([actor], events() as (Vec<Event>)));
+    let inbox = Inbox::new(
+        stakker,
+        fwd_to!([actor], events() as (Vec<Told<PlannerConfig>>)),
+    );
     let clock = Clock::start();
     let bind = |addr: SocketAddr, body, ready| {
         HttpPort::bind(&poll, addr, body, ready)
@@ -126,7 +120,8 @@
     };
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "callers" => %config.callers,
         "runners" => %runners, "domain" => %config.domain);
-    watch(&inbox, registry, runners, reload)?;
+    follow_store(&inbox, registry, runners);
+    told::watch(&inbox, reload)?;
     let parts = Parts {
         planner: Planner::new(settings, clock.time()),
         dialect,
@@ -147,38 +142,14 @@
     Ok(())
 }
 
-/// Starts the threads that tell of the store, signals and settings.
-fn watch(
-    inbox: &Inbox<Event>,
-    registry: Registry,
-    runners: SocketAddr,
-    mut reload: Reload<PlannerConfig>,
-) -> eyre::Result<()> {
+/// Starts the threads that follow the store.
+fn follow_store(inbox: &Inbox<Told<PlannerConfig>>, registry: Registry, runners: SocketAddr) {
     let tell = inbox.clone();
-    registry::follow_config(registry.clone(), move |event| {
-        tell.push(Event::Store(event));
-    });
+    registry::follow_config(registry.clone(), move |event| tell.push(Told::Store(event)));
     let tell = inbox.clone();
     registry::keep_listed(registry, runners, move |event| {
-        tell.push(Event::Store(event));
+        tell.push(Told::Store(event));
     });
-    let tell = inbox.clone();
-    signals::on_signal(move |asked| tell.push(Event::Asked(asked)))?;
-    let tell = inbox.clone();
-    let follow = move || {
-        loop {
-            thread::sleep(Duration::from_micros(SWEEP.0));
-            match reload() {
-                Ok(None) => {}
-                Ok(Some(config)) => tell.push(Event::Settings(config)),
-                Err(error) => tell.push(Event::BadSettings(error)),
-            }
-        }
-    };
-    thread::Builder::new()
-        .name("settings".into())
-        .spawn(follow)?;
-    Ok(())
 }
 
 impl PlannerActor {
@@ -203,21 +174,18 @@
     }
 
     /// Takes in what other threads tell.
-    fn events(&mut self, cx: CX![], events: Vec<Event>) {
+    fn events(&mut self, cx: CX![], events: Vec<Told<PlannerConfig>>) {
         for event in events {
             match event {
-                Event::Store(StoreEvent::Config(copy)) => self.take_config(copy, "store"),
-                Event::Store(StoreEvent::Members(_)) => {}
-                Event::Store(StoreEvent::Reached(error)) => log_store(&self.parts.log, error),
-                Event::Asked(Asked::Stop) => self.stop(),
-                Event::Asked(Asked::Reload) => {
+                Told::Store(StoreEvent::Config(copy)) => self.take_config(copy, "store"),
+                Told::Store(StoreEvent::Members(_) | StoreEvent::Recalled(_)) => {}
+                Told::Store(StoreEvent::Reached(error)) => told::log_store(&self.parts.log, error),
+                Told::Asked(Asked::Stop) => self.stop(),
+                Told::Asked(Asked::Reload) => {
                     info!(self.parts.log, "reload asked for");
                 }
-                Event::Settings(config) => self.take_settings(config),
-                Event::BadSettings(error) => {
-                    warn!(self.parts.log, "settings not usable, the last ones stay";
-                        "error" => format!("{error:#}"));
-                }
+                Told::Settings(config) => self.take_settings(config),
+                Told::BadSettings(error) => told::log_bad_settings(&self.parts.log, &error),
             }
         }
         self.carry(cx);
@@ -286,25 +254,14 @@
     /// Serves the metrics.
     fn metrics(&mut self, cx: CX![], ready: HttpReady) {
         let now = self.parts.clock.time();
-        for event in self.parts.metrics.handle(now, ready) {
-            if let HttpEvent::Request(conn, _) = event {
-                let report = &self.parts.report;
-                report.jobs.record(self.parts.planner.jobs() as u64, &[]);
-                report
-                    .runners
-                    .record(self.parts.planner.runners() as u64, &[]);
-                report
-                    .version
-                    .record(self.routes.as_ref().map_or(0, |r| r.version), &[]);
-                let answer = HttpAnswer {
-                    status: 200,
-                    media: "text/plain; version=0.0.4",
-                    comeback: None,
-                    body: report.metrics.text().into_bytes(),
-                };
-                self.parts.metrics.answer(now, conn, &answer);
-            }
-        }
+        let report = &self.parts.report;
+        report.jobs.record(self.parts.planner.jobs() as u64, &[]);
+        report
+            .runners
+            .record(self.parts.planner.runners() as u64, &[]);
+        let version = self.routes.as_ref().map_or(0, |r| r.version);
+        report.version.record(version, &[]);
+        told::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry(cx);
     }
 
@@ -486,11 +443,3 @@
         self.timer = Some(at!(due, [cx], tick()));
     }
 }
-
-/// Logs that the store is lost or found again.
-pub(super) fn log_store(log: &Logger, error: Option<chervilring_platform::StoreError>) {
-    match error {
-        None => info!(log, "store answers again"),
-        Some(error) => warn!(log, "store does not answer"; "error" => %error),
-    }
-}
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use chervilring_core::runs::runner::Report;
-use chervilring_platform::{Pair, StoreError};
+use chervilring_store::{Pair, StoreError};
 use chervilring_wire::{ConfigCopy, Micros};
 use slog::{Logger, warn};
 
@@ -64,6 +64,8 @@
     Config(ConfigCopy),
     /// The planners' addresses were read.
     Members(Vec<SocketAddr>),
+    /// What the upstream of the runner had said to an earlier life of it.
+    Recalled(Report),
     /// The store answers again, or no more, and why.
     Reached(Option<StoreError>),
 }
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -16,18 +16,17 @@
 use super::calls::{Called, Calls};
 use super::dialect::{WorkerDialect, WorkerNotice};
 use super::pause::PauseWatch;
-use super::planner::log_store;
 use super::registry::{self, Registry, StoreEvent};
 use super::runner_dial::{Dial, Due};
 use super::runner_log;
 use super::runner_report::RunnerReport;
 use super::settings::{Reload, RunnerConfig};
+use super::told::{self, Told};
 use crate::log;
 use crate::net::{
-    Clock, EventLoop, HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId,
-    LinkState, Links,
+    Clock, EventLoop, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId, LinkState, Links,
 };
-use crate::signals::{self, Asked};
+use crate::signals::Asked;
 
 /// The longest span between two looks at the clock.
 const TICK: Duration = Duration::from_millis(50);
@@ -38,19 +37,9 @@
 /// What of the grace period is left for the process to end.
 const EXIT_TIME: Micros = Micros::from_millis(900);
 
-/// Time between looks at the settings and at stale connections.
+/// Time between looks at stale connections.
 const SWEEP: Micros = Micros::from_secs(1);
 
-/// What comes from other threads.
-#[derive(Debug)]
-enum Event {
-    Store(StoreEvent),
-    Recalled(Report),
-    Asked(Asked),
-    Settings(RunnerConfig),
-    BadSettings(eyre::Report),
-}
-
 /// What the actor works with.
 struct Parts {
     runner: Runner,
@@ -91,7 +80,10 @@
     let poll = event_loop.poll.clone();
     let stakker = &mut event_loop.stakker;
     let actor: ActorOwn<RunnerActor> = actor_new!(stakker, RunnerActor, ret_shutdown!(stakker));
-    let inbox = Inbox::new(stakker, fwd_to!([actor], events() as (Vec<Event>)));
+    let inbox = Inbox::new(
+        stakker,
+        fwd_to!([actor], events() as (Vec<Told<RunnerConfig>>)),
+    );
     let ends = Inbox::new(stakker, fwd_to!([actor], called() as (Vec<Called>)));
     let clock = Clock::start();
     let bind = |addr: SocketAddr, body, ready| {
@@ -114,7 +106,9 @@
     let (keep, kept) = mpsc::channel();
     registry::keep_reports(registry.clone(), &config.name, kept, log.clone());
     recall(&inbox, &registry, &dialect, &config, &log)?;
-    watch(&inbox, registry, reload)?;
+    let tell = inbox.clone();
+    registry::follow_members(registry, move |event| tell.push(Told::Store(event)));
+    told::watch(&inbox, reload)?;
     // Rises with each life, as long as the wall clock does; the upstream says when it has not.
     let fence = clock.now().wall.0;
     let time = clock.time();
@@ -143,37 +137,10 @@
     Ok(())
 }
 
-/// Starts the threads that tell of the store, signals and settings.
-fn watch(
-    inbox: &Inbox<Event>,
-    registry: Registry,
-    mut reload: Reload<RunnerConfig>,
-) -> eyre::Result<()> {
-    let tell = inbox.clone();
-    registry::follow_members(registry, move |event| tell.push(Event::Store(event)));
-    let tell = inbox.clone();
-    signals::on_signal(move |asked| tell.push(Event::Asked(asked)))?;
-    let tell = inbox.clone();
-    let follow = move || {
-        loop {
-            thread::sleep(Duration::from_micros(SWEEP.0));
-            match reload() {
-                Ok(None) => {}
-                Ok(Some(config)) => tell.push(Event::Settings(config)),
-                Err(error) => tell.push(Event::BadSettings(error)),
-            }
-        }
-    };
-    thread::Builder::new()
-        .name("settings".into())
-        .spawn(follow)?;
-    Ok(())
-}
-
 /// Has what the upstream had said to an earlier life of this runner read, and checks that the
 /// upstream is there and takes work: its next report may be more than a second away.
 fn recall(
-    inbox: &Inbox<Event>,
+    inbox: &Inbox<Told<RunnerConfig>>,
     registry: &Registry,
     dialect: &WorkerDialect,
     config: &RunnerConfig,
@@ -185,7 +152,7 @@
     let work = move || {
         let report = registry::recall(&registry, &name, &log);
         if let Some(report) = report.filter(|r| (dialect.healthy)(&r.life)) {
-            tell.push(Event::Recalled(report));
+            tell.push(Told::Store(StoreEvent::Recalled(report)));
         }
     };
     thread::Builder::new().name("recall".into()).spawn(work)?;
@@ -218,37 +185,34 @@
     }
 
     /// Takes in what other threads tell.
-    fn events(&mut self, cx: CX![], events: Vec<Event>) {
+    fn events(&mut self, cx: CX![], events: Vec<Told<RunnerConfig>>) {
         let now = self.parts.clock.time();
         for event in events {
             match event {
-                Event::Store(StoreEvent::Config(_)) => {}
-                Event::Store(StoreEvent::Members(addrs)) => self.parts.dial.set_listed(now, &addrs),
-                Event::Store(StoreEvent::Reached(error)) => log_store(&self.parts.log, error),
-                Event::Recalled(report) => {
+                Told::Store(StoreEvent::Config(_)) => {}
+                Told::Store(StoreEvent::Members(addrs)) => self.parts.dial.set_listed(now, &addrs),
+                Told::Store(StoreEvent::Reached(error)) => told::log_store(&self.parts.log, error),
+                Told::Store(StoreEvent::Recalled(report)) => {
                     info!(self.parts.log, "upstream recalled"; "upstream" => &*report.life.id,
                         "born_ms" => report.life.born);
                     self.parts.runner.recall(now, report);
                 }
-                Event::Asked(Asked::Stop) => {
+                Told::Asked(Asked::Stop) => {
                     info!(self.parts.log, "stopping"; "runs" => self.parts.runner.runs());
                     let until = now + self.parts.config.grace - EXIT_TIME;
                     self.parts.runner.leave(now, until);
                 }
-                Event::Asked(Asked::Reload) => {
+                Told::Asked(Asked::Reload) => {
                     info!(self.parts.log, "reload asked for");
                 }
-                Event::Settings(config) => {
+                Told::Settings(config) => {
                     let moved = self.parts.config.reports != config.reports;
                     info!(self.parts.log, "settings reloaded"; "seeds" => config.seeds.len(),
                         "needs_restart" => moved);
                     self.parts.dial.set_seeds(now, &seeds(&config));
                     self.parts.config = config;
                 }
-                Event::BadSettings(error) => {
-                    warn!(self.parts.log, "settings not usable, the last ones stay";
-                        "error" => format!("{error:#}"));
-                }
+                Told::BadSettings(error) => told::log_bad_settings(&self.parts.log, &error),
             }
         }
         self.carry(cx);
@@ -301,22 +265,11 @@
     /// Serves the metrics.
     fn metrics(&mut self, cx: CX![], ready: HttpReady) {
         let now = self.parts.clock.time();
-        for event in self.parts.metrics.handle(now, ready) {
-            if let HttpEvent::Request(conn, _) = event {
-                let report = &self.parts.report;
-                report.runs.record(self.parts.runner.runs() as u64, &[]);
-                report
-                    .planners
-                    .record(self.parts.runner.planners() as u64, &[]);
-                let answer = HttpAnswer {
-                    status: 200,
-                    media: "text/plain; version=0.0.4",
-                    comeback: None,
-                    body: report.metrics.text().into_bytes(),
-                };
-                self.parts.metrics.answer(now, conn, &answer);
-            }
-        }
+        let report = &self.parts.report;
+        report.runs.record(self.parts.runner.runs() as u64, &[]);
+        let planners = self.parts.runner.planners() as u64;
+        report.planners.record(planners, &[]);
+        told::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry(cx);
     }
 
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/told.rs
@@ -0,0 +1,81 @@
+//! What planners and runners are told by threads: of the store, of signals and of their settings.
+
+use std::thread;
+use std::time::Duration;
+
+use chervilring_wire::Time;
+use slog::{Logger, info, warn};
+
+use super::registry::StoreEvent;
+use super::settings::Reload;
+use crate::metrics::Metrics;
+use crate::net::{HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox};
+use crate::signals::{self, Asked};
+
+/// Time between looks at the settings.
+const SETTINGS_POLL: Duration = Duration::from_secs(1);
+
+/// What a thread tells; `T` are the settings of the process.
+#[derive(Debug)]
+pub(super) enum Told<T> {
+    /// Something of the store.
+    Store(StoreEvent),
+    /// A signal asks for something.
+    Asked(Asked),
+    /// The settings have changed.
+    Settings(T),
+    /// The settings have changed and are not usable.
+    BadSettings(eyre::Report),
+}
+
+/// Starts the threads that tell of signals and settings.
+pub(super) fn watch<T: Send + 'static>(
+    inbox: &Inbox<Told<T>>,
+    mut reload: Reload<T>,
+) -> eyre::Result<()> {
+    let tell = inbox.clone();
+    signals::on_signal(move |asked| tell.push(Told::Asked(asked)))?;
+    let tell = inbox.clone();
+    let follow = move || {
+        loop {
+            thread::sleep(SETTINGS_POLL);
+            match reload() {
+                Ok(None) => {}
+                Ok(Some(config)) => tell.push(Told::Settings(config)),
+                Err(error) => tell.push(Told::BadSettings(error)),
+            }
+        }
+    };
+    let thread = thread::Builder::new().name("settings".into());
+    thread.spawn(follow)?;
+    Ok(())
+}
+
+/// Logs that the store is lost or found again.
+pub(super) fn log_store(log: &Logger, error: Option<chervilring_store::StoreError>) {
+    match error {
+        None => info!(log, "store answers again"),
+        Some(error) => warn!(log, "store does not answer"; "error" => %error),
+    }
+}
+
+/// Logs that settings are not usable.
+pub(super) fn log_bad_settings(log: &Logger, error: &eyre::Report) {
+    warn!(log, "settings not usable, the last ones stay"; "error" => format!("{error:#}"));
+}
+
+/// Serves the metrics on a port of their own.
+pub(super) fn serve_metrics(port: &mut HttpPort, now: Time, ready: HttpReady, metrics: &Metrics) {
+    for event in port.handle(now, ready) {
+        let HttpEvent::Request(conn, _) = event else {
+            continue;
+        };
+        let answer = HttpAnswer {
+            status: 200,
+            media: "text/plain; version=0.0.4",
+            comeback: None,
+            body: metrics.text().into_bytes(),
+        };
+        port.answer(now, conn, &answer);
+    }
+}
--- a/crates/chervilring_daemon/src/settings/entry.rs
+++ b/crates/chervilring_daemon/src/settings/entry.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 
-use chervilring_platform::DEFAULT_PREFIX;
+use chervilring_store::DEFAULT_PREFIX;
 use chervilring_wire::{Micros, Name};
 
 use super::common::{self, CommonSettings};
--- a/crates/chervilring_dev/src/measure/calls.rs
+++ b/crates/chervilring_dev/src/measure/calls.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use chervilring_core::config::{Config, Note};
-use chervilring_platform::{ConfigStore, RingStore, StoreSettings};
+use chervilring_store::{ConfigStore, RingStore, StoreSettings};
 use chervilring_wire::{EntryId, Incarnation, Revision, Stamp};
 use eyre::{WrapErr, eyre};
 
--- a/crates/chervilring_dev/src/process/controls.rs
+++ b/crates/chervilring_dev/src/process/controls.rs
@@ -5,7 +5,7 @@
 
 use chervilring::{ClientError, Response};
 use chervilring_core::config::Note;
-use chervilring_platform::{ConfigStore, StoreSettings};
+use chervilring_store::{ConfigStore, StoreSettings};
 use chervilring_wire::{Revision, Stamp};
 use eyre::eyre;
 use serde_json::{Value, json};
--- a/crates/chervilring_dev/tests/store/common.rs
+++ b/crates/chervilring_dev/tests/store/common.rs
@@ -4,7 +4,7 @@
 
 use chervilring_core::config::Note;
 use chervilring_dev::platform::{Faults, Platform};
-use chervilring_platform::{ConfigStore, StoreSettings, StoreSettingsBuilder};
+use chervilring_store::{ConfigStore, StoreSettings, StoreSettingsBuilder};
 use chervilring_wire::{EntryId, Incarnation};
 
 /// The longest that one call may take in these tests.
--- a/crates/chervilring_dev/tests/store/faults.rs
+++ b/crates/chervilring_dev/tests/store/faults.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use chervilring_dev::platform::{Down, Faults};
-use chervilring_platform::{Op, Store, StoreError, StoreSettings, Txn};
+use chervilring_store::{Op, Store, StoreError, StoreSettings, Txn};
 
 use crate::common::{builder, platform};
 
@@ -122,7 +122,7 @@
     store.txn(&put("a2", 0)).unwrap();
     let mut seen = 0;
     while seen < 2 {
-        let chervilring_platform::Changes::Some(changes) = watch.wait().unwrap() else {
+        let chervilring_store::Changes::Some(changes) = watch.wait().unwrap() else {
             panic!("the watch ended");
         };
         seen += changes.len();
--- a/crates/chervilring_dev/tests/store/notes.rs
+++ b/crates/chervilring_dev/tests/store/notes.rs
@@ -4,7 +4,7 @@
 
 use chervilring_core::config::Note;
 use chervilring_dev::platform::Faults;
-use chervilring_platform::{ConfigStore, SubmitError};
+use chervilring_store::{ConfigStore, SubmitError};
 use chervilring_wire::{Revision, Stamp};
 
 use crate::common::{adding, builder, config_store, platform};
--- a/crates/chervilring_dev/tests/store/races.rs
+++ b/crates/chervilring_dev/tests/store/races.rs
@@ -8,7 +8,7 @@
 
 use chervilring_core::config::{AuditRecord, Config, Note};
 use chervilring_dev::platform::{Down, Faults, Platform};
-use chervilring_platform::{ConfigStore, SubmitError};
+use chervilring_store::{ConfigStore, SubmitError};
 use chervilring_wire::{Revision, Stamp};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
--- a/crates/chervilring_dev/tests/store/ring.rs
+++ b/crates/chervilring_dev/tests/store/ring.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chervilring_dev::platform::Faults;
-use chervilring_platform::{RingStore, StoreError, StoreSettings};
+use chervilring_store::{RingStore, StoreError, StoreSettings};
 use chervilring_wire::{Ring, RingVersion, Verdict};
 
 use crate::common::{TIMEOUT, adding, builder, config_store, entry, platform};
--- a/crates/chervilring_dev/tests/store/watch.rs
+++ b/crates/chervilring_dev/tests/store/watch.rs
@@ -7,7 +7,7 @@
 
 use chervilring_core::config::Config;
 use chervilring_dev::platform::{Down, Faults, Platform};
-use chervilring_platform::{ConfigStore, ConfigWatch, RingStore};
+use chervilring_store::{ConfigStore, ConfigWatch, RingStore};
 use chervilring_wire::{Revision, Stamp};
 
 use crate::common::{adding, builder, config_store, entry, platform};
