Planner: stragglers are moved by their pace, once

Runners now tell how long runs have gone on; a run that keeps three times longer than is usual on its upstream, and whose rest takes more than twice of all of it elsewhere, is stopped and begun elsewhere, once a task.

--- a/crates/chervilring_core/src/runs/planner/ends.rs
+++ b/crates/chervilring_core/src/runs/planner/ends.rs
@@ -1,14 +1,18 @@
 //! What runners tell of runs.
 
-use chervilring_wire::{Micros, Name, PlannerMessage, RunEnd, RunKey, Time};
+use std::collections::BTreeMap;
+
+use chervilring_wire::{
+    Micros, Name, PlannerMessage, Progressed, RunEnd, RunKey, ServiceName, Time,
+};
+use rustc_hash::FxHashMap;
 
 use super::event::{LossCause, PlannerEvent};
 use super::job::TaskState;
 use super::links::LinkNo;
 use super::state::{JobAnswer, Planner, PlannerStep};
-
-/// How long a run may stand at the same percentage before it is stopped and started elsewhere.
-const STALL: Micros = Micros::from_millis(500);
+use super::straggler::Pace;
+use super::upstream::{Profile, Upstream};
 
 impl Planner {
     /// Returns whether a run is known and was sent over a link.
@@ -87,36 +91,49 @@
         self.settle(now, no);
     }
 
-    /// Takes in how far runs have got, and stops those that stand still.
-    pub(super) fn progress(&mut self, now: Time, rows: &[(RunKey, u8)]) {
-        for (run, percent) in rows {
-            let Some(&(no, place)) = self.runs.get(run) else {
+    /// Takes in how far runs have got, and stops those whose tasks do better elsewhere.
+    pub(super) fn progress(&mut self, now: Time, rows: &[Progressed]) {
+        for row in rows {
+            let Some(&(no, place)) = self.runs.get(&row.run) else {
                 continue;
             };
             let Some(job) = self.jobs.get_mut(&no) else {
                 continue;
             };
-            let task = &mut job.tasks[place];
-            let TaskState::Sent { link, at } = task.state else {
+            let TaskState::Sent { link, .. } = job.tasks[place].state else {
                 continue;
             };
-            let (last, grew) = task.progress;
-            if *percent != last || grew < at {
-                task.progress = (*percent, now);
+            let Some(name) = self.links.get(&link).map(|u| u.name.clone()) else {
                 continue;
-            }
-            if now.since(grew) < STALL {
+            };
+            let usual = self.profiles.get(&name).map_or(1.0, |p| p.speed.value());
+            let best = best_speed(&self.links, &self.profiles, &job.new.route.service);
+            let seen = Pace {
+                percent: row.percent,
+                span: row.span,
+                size: job.step(place).size,
+                usual,
+                best,
+            };
+            let deadline = job.new.deadline;
+            let task = &mut job.tasks[place];
+            let useful = now + seen.again() < deadline;
+            // A task that is longer than it was said to be looks slow wherever it runs.
+            if task.moved || !useful || !seen.is_straggler() {
                 continue;
             }
+            task.moved = true;
             task.state = TaskState::Stopping(link);
-            let name = self.links.get(&link).map(|u| u.name.clone());
-            task.avoid.clone_from(&name);
-            let message = PlannerMessage::Stop(vec![*run]);
+            task.avoid = Some(name.clone());
+            let message = PlannerMessage::Stop(vec![row.run]);
             self.steps.push(PlannerStep::Send { link, message });
-            self.log_lost(*run, LossCause::Stalled);
-            let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
-            if profile.is_some_and(|p| p.health.bad(now)) {
-                self.log_out(name);
+            self.log_lost(row.run, LossCause::Stalled);
+            let Some(profile) = self.profiles.get_mut(&name) else {
+                continue;
+            };
+            profile.speed.learn(seen.work(), seen.span);
+            if row.percent == 0 && profile.health.bad(now) {
+                self.log_out(Some(name));
             }
         }
     }
@@ -143,3 +160,14 @@
         self.steps.push(PlannerStep::Log(event));
     }
 }
+
+/// Returns the speed of the fastest upstream that does a service, at least one.
+pub(super) fn best_speed(
+    links: &BTreeMap<LinkNo, Upstream>,
+    profiles: &FxHashMap<Name, Profile>,
+    service: &ServiceName,
+) -> f64 {
+    let open = links.values().filter(|u| u.does(service.as_str()));
+    let speeds = open.filter_map(|u| profiles.get(&u.name));
+    speeds.map(|p| p.speed.value()).fold(1.0, f64::max)
+}
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -79,8 +79,8 @@
     pub(super) failed: u32,
     /// The runner on whose upstream it last failed.
     pub(super) avoid: Option<Name>,
-    /// The percentage that was last told, and when it last grew.
-    pub(super) progress: (u8, Time),
+    /// Whether it was stopped once to begin again elsewhere.
+    pub(super) moved: bool,
 }
 
 /// A job.
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -13,6 +13,7 @@
 mod settling;
 mod speed;
 mod state;
+mod straggler;
 mod systems;
 mod upstream;
 
@@ -26,3 +27,4 @@
 pub use settings::PlannerSettings;
 pub use speed::Speed;
 pub use state::{JobAnswer, Planner, PlannerStep, Refusal};
+pub use straggler::Pace;
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -225,7 +225,6 @@
                     link: place.link,
                     at: now,
                 };
-                row.progress = (0, Time::default());
                 took = took.plus(&demand);
                 let run = job.run(task);
                 self.runs.insert(run, (no, task));
--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -2,6 +2,7 @@
 
 use chervilring_wire::{Micros, PlannerMessage, RunKey, Time};
 
+use super::ends::best_speed;
 use super::event::PlannerEvent;
 use super::job::{Job, TaskState};
 use super::links::LinkNo;
@@ -70,10 +71,7 @@
         if job.started.is_none() {
             return false;
         }
-        let service = job.new.route.service.as_str();
-        let speeds = self.links.values().filter(|u| u.does(service));
-        let speeds = speeds.filter_map(|u| self.profiles.get(&u.name));
-        let best = speeds.map(|p| p.speed.value()).fold(1.0, f64::max);
+        let best = best_speed(&self.links, &self.profiles, &job.new.route.service);
         let late = |t: &super::job::Task| {
             let TaskState::Waiting(at) = t.state else {
                 return false;
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -326,7 +326,7 @@
             attempt,
             failed: 0,
             avoid: None,
-            progress: (0, Time::default()),
+            moved: false,
         })
     };
     rows.flat_map(of_step).collect()
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -1,6 +1,6 @@
 //! What the upstream's own lists of runs mean for the ledger: they are the truth.
 
-use chervilring_wire::{Micros, RunEnd, RunKey, RunnerMessage, Time};
+use chervilring_wire::{Micros, Progressed, RunEnd, RunKey, RunnerMessage, Time};
 
 use super::call::{CallOutcome, Lists, Refused};
 use super::event::RunnerEvent;
@@ -12,7 +12,7 @@
 const RETRY: Micros = Micros::from_millis(10);
 
 /// How often planners are told how far runs have got.
-const PROGRESS: Micros = Micros::from_millis(200);
+const PROGRESS: Micros = Micros::from_millis(100);
 
 /// Runs that are shorter are not told of.
 const SHORT: Micros = Micros::from_millis(250);
@@ -136,11 +136,18 @@
         let links: Vec<LinkNo> = self.links.keys().copied().collect();
         for link in links {
             let row = |r: &super::call::ListedRun| {
-                let run = self.runs.get(&r.run)?;
-                let long = run.link == Some(link) && now.since(run.taken) >= SHORT;
-                long.then_some((r.run, r.percent))
+                let run = self.runs.get(&r.run).filter(|run| run.link == Some(link))?;
+                let RunState::Running(since) = run.state else {
+                    return None;
+                };
+                let span = now.since(since);
+                (span >= SHORT).then_some(Progressed {
+                    run: r.run,
+                    percent: r.percent,
+                    span,
+                })
             };
-            let rows: Vec<(RunKey, u8)> = lists.active.iter().filter_map(row).collect();
+            let rows: Vec<Progressed> = lists.active.iter().filter_map(row).collect();
             if rows.is_empty() {
                 continue;
             }
--- a/crates/chervilring_core/tests/runs/order.rs
+++ b/crates/chervilring_core/tests/runs/order.rs
@@ -134,3 +134,17 @@
     let share = in_time(&world, &all);
     assert!(share >= 0.9, "{share:.3} in time");
 }
+
+#[test]
+fn long_tasks_leave_an_upstream_that_has_turned_slow() {
+    let mut world = started(13);
+    let mut all = load(&mut world, 1_000, 4, diagnosis);
+    world.run(2_000_000);
+    world.upstreams[1].speed /= 8.0;
+    let more = load(&mut world, 2_000, 2, diagnosis);
+    all.extend(more);
+    world.run(LOAD + 6_000_000);
+    let share = in_time(&world, &all);
+    // One upstream in four is lost to them by its speed, another by its turn.
+    assert!(share >= 2.0 / 3.0, "{share:.3} in time");
+}
--- a/crates/chervilring_core/tests/runs/units.rs
+++ b/crates/chervilring_core/tests/runs/units.rs
@@ -1,6 +1,6 @@
 //! The units of the decisions: holding, order, speed, health, lease.
 
-use chervilring_core::runs::planner::{Health, Hold, Speed, hold, urgency};
+use chervilring_core::runs::planner::{Health, Hold, Pace, Speed, hold, urgency};
 use chervilring_core::runs::runner::Lease;
 use chervilring_wire::{Micros, Time};
 use quickcheck::{TestResult, quickcheck};
@@ -134,3 +134,26 @@
     lease.read(at(200), 5_000);
     assert_eq!(lease.extend(at(100), MS(10)), Some(5_110));
 }
+
+fn pace(percent: u8, span: u64, size: u64) -> Pace {
+    Pace {
+        percent,
+        span: MS(span),
+        size: MS(size),
+        usual: 1.0,
+        best: 1.0,
+    }
+}
+
+#[test]
+fn a_run_that_stands_still_or_crawls_is_a_straggler() {
+    assert!(pace(0, 300, 200).is_straggler());
+    assert!(pace(4, 300, 900).is_straggler());
+}
+
+#[test]
+fn a_run_that_is_nearly_done_or_fairly_fast_is_none() {
+    assert!(!pace(90, 2_000, 900).is_straggler());
+    assert!(!pace(20, 300, 900).is_straggler());
+    assert!(!pace(0, 200, 200).is_straggler());
+}
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use ring::{Doubt, Member, OldRing, Ring, home_name};
 pub use run::{
-    ConfigCopy, JobId, PlannerMessage, Queued, RefuseReason, Resources, RunEnd, RunKey,
+    ConfigCopy, JobId, PlannerMessage, Progressed, Queued, RefuseReason, Resources, RunEnd, RunKey,
     RunnerMessage, StartRuns, UpstreamState,
 };
 pub use submission::{
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -172,8 +172,8 @@
         /// How long it ran.
         span: Micros,
     },
-    /// How far runs have got, in percent.
-    Progress(Vec<(RunKey, u8)>),
+    /// How far runs have got.
+    Progress(Vec<Progressed>),
 }
 
 /// The state of an upstream towards one planner.
@@ -206,6 +206,17 @@
     pub demand: Resources,
 }
 
+/// How far a run has got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progressed {
+    /// The run.
+    pub run: RunKey,
+    /// How much of it is done, in percent.
+    pub percent: u8,
+    /// How long it has run.
+    pub span: Micros,
+}
+
 /// Why a run was not started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefuseReason {
