--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -2,20 +2,25 @@
 //! more than it has, and what is said not to have run has not.
 
 use std::env;
+use std::ops::RangeInclusive;
 
 use super::world::{Happening, Way, Without, World, wanted};
 
-/// Schedules that a plain test run plays; `CHERVILRING_SCHEDULES` sets another number.
+/// Schedules that a plain test run plays; `CHERVILRING_SCHEDULES` sets another number, and
+/// `CHERVILRING_FIRST` the seed to begin with.
 const SCHEDULES: u64 = 250;
 
 /// How long faults strike, in microseconds.
 const FAULTS: u64 = 6_000_000;
 
-fn schedules() -> u64 {
-    let given = env::var("CHERVILRING_SCHEDULES").ok();
-    given.map_or(SCHEDULES, |text| {
-        text.parse().expect("a number of schedules")
-    })
+fn schedules() -> RangeInclusive<u64> {
+    let number = |name: &str, other: u64| {
+        let given = env::var(name).ok();
+        given.map_or(other, |text| text.parse().expect("a number"))
+    };
+    let first = number("CHERVILRING_FIRST", 1);
+    let count = number("CHERVILRING_SCHEDULES", SCHEDULES);
+    first..=first + count - 1
 }
 
 /// Plays a schedule and returns the world after it.
@@ -107,8 +112,8 @@
     }
 }
 
-fn violations(without: Without, most: u64) -> Option<(u64, String)> {
-    (1..=most).find_map(|seed| {
+fn violations(without: Without, seeds: RangeInclusive<u64>) -> Option<(u64, String)> {
+    seeds.into_iter().find_map(|seed| {
         let world = play(seed, without);
         world.violations.first().map(|v| (seed, v.clone()))
     })
@@ -143,7 +148,7 @@
 
 /// Returns the message of the first violation when a mechanism is left out.
 fn found_without(without: Without) -> String {
-    let found = violations(without, 400);
+    let found = violations(without, 1..=400);
     found.expect("a schedule that shows the lack").1
 }
 
