One loop reads links; what nothing calls is gone

The entries' and agents' loops differ (a hello of another type comes first) and stay. HttpPort lost two methods without a caller, Runner::lose a parameter that it did not use, and the planner's call-back a condition inside its twin.

--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -48,14 +48,11 @@
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
-        if !job.is_sent() {
+        if !job.is_sent() || now >= job.new.deadline {
             self.give_up(now, no, why);
             return;
         }
-        if job.withdrawn || now >= job.new.deadline {
-            if now >= job.new.deadline {
-                self.give_up(now, no, why);
-            }
+        if job.withdrawn {
             return;
         }
         job.withdrawn = true;
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -140,7 +140,7 @@
 
     /// Takes in that a link has ended.
     pub fn link_down(&mut self, now: Time, link: LinkNo) {
-        self.lose(now, link, "closed");
+        self.lose(link, "closed");
         self.tick(now);
     }
 
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -66,14 +66,14 @@
             .push(RunnerStep::Log(RunnerEvent::Paused { span }));
         let links: Vec<LinkNo> = self.links.keys().copied().collect();
         for link in links {
-            self.lose(now, link, "paused");
+            self.lose(link, "paused");
             self.steps.push(RunnerStep::Close(link));
         }
         self.tick(now);
     }
 
     /// Ends the belief in a link and stops its runs.
-    pub(super) fn lose(&mut self, _now: Time, link: LinkNo, why: &'static str) {
+    pub(super) fn lose(&mut self, link: LinkNo, why: &'static str) {
         if self.links.remove(&link).is_none() {
             return;
         }
@@ -271,7 +271,7 @@
             .filter(|(_, l)| now > l.alive && l.greeted);
         let silent: Vec<LinkNo> = rows.map(|(&l, _)| l).collect();
         for link in silent {
-            self.lose(now, link, "silent");
+            self.lose(link, "silent");
             self.steps.push(RunnerStep::Close(link));
         }
     }
--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -153,15 +153,6 @@
         })
     }
 
-    /// Returns the address with the port that the system chose.
-    ///
-    /// # Errors
-    ///
-    /// Returns the system's error.
-    pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-
     /// Sets the longest body, in bytes.
     pub fn set_body(&mut self, body: usize) {
         self.body = body;
@@ -172,11 +163,6 @@
         self.closing = true;
     }
 
-    /// Returns how many connections are open.
-    pub fn conns(&self) -> usize {
-        self.conns.len()
-    }
-
     /// Reads and writes what is ready and returns what has come in.
     pub fn handle(&mut self, now: Time, ready: HttpReady) -> Vec<HttpEvent> {
         let mut events = Vec::new();
--- a/crates/chervilring_daemon/src/net/links.rs
+++ b/crates/chervilring_daemon/src/net/links.rs
@@ -148,6 +148,27 @@
         self.table.get_mut(&id).map_or(Ok(None), Link::receive)
     }
 
+    /// Reads all that has come in over a link and hands on each whole message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer sent what is no frame; the link is then to be closed.
+    pub fn read_all<T: DeserializeOwned>(
+        &mut self,
+        id: LinkId,
+        mut take: impl FnMut(T),
+    ) -> Result<LinkState, CodecError> {
+        loop {
+            let state = self.fill(id);
+            while let Some(message) = self.receive(id)? {
+                take(message);
+            }
+            if state != LinkState::More {
+                return Ok(state);
+            }
+        }
+    }
+
     /// Closes a link.
     pub fn close(&mut self, id: LinkId) {
         self.table.remove(&id);
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -291,24 +291,20 @@
         self.carry(cx);
     }
 
+    /// Reads all that has come in over a link.
     fn read(&mut self, link: LinkId) -> LinkState {
-        loop {
-            let state = self.parts.links.fill(link);
-            let now = self.parts.clock.time();
-            loop {
-                match self.parts.links.receive::<RunnerMessage>(link) {
-                    Ok(None) => break,
-                    Ok(Some(message)) => self.parts.planner.message(now, LinkNo(link.0), message),
-                    Err(error) => {
-                        warn!(self.parts.log, "link dropped"; "error" => %error);
-                        return LinkState::Closed;
-                    }
-                }
-            }
-            if state != LinkState::More {
-                return state;
-            }
-        }
+        let Parts {
+            links,
+            planner,
+            clock,
+            log,
+            ..
+        } = &mut self.parts;
+        let take = |message: RunnerMessage| planner.message(clock.time(), LinkNo(link.0), message);
+        links.read_all(link, take).unwrap_or_else(|error| {
+            warn!(log, "link dropped"; "error" => %error);
+            LinkState::Closed
+        })
     }
 
     fn close(&mut self, link: LinkId) {
