Logs of entries and agents go to standard output; answers name the caller's patience

Cause: on-call engineers read standard output; entries and agents wrote to standard error, as the fixture that starts them read only one line of standard output. A line was written in pieces, which another thread's line could split.

Ruled out: a second stream for addresses; both stay on standard output, told apart by their shape.

Before: planners and runners on standard output, entries and agents on standard error. After: all on standard output, whole lines. The line of an answer names how long its caller was willing to wait.

--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -50,6 +50,8 @@
         version: u64,
         /// The answer.
         answer: JobAnswer,
+        /// How long its caller was willing to wait when it came.
+        patience: Micros,
         /// The time from its arrival.
         span: Micros,
         /// Time from its arrival to its first start; absent when nothing was started.
--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -102,6 +102,7 @@
             route: job.new.route.name.clone(),
             version: job.new.version,
             answer,
+            patience: job.arrived.until(job.new.deadline),
             span: now.since(job.arrived),
             wait: job.started.map(|at| at.since(job.arrived)),
             starts: job.starts,
--- a/crates/chervilring_daemon/src/agent/run.rs
+++ b/crates/chervilring_daemon/src/agent/run.rs
@@ -1,13 +1,11 @@
 //! The start of the agent daemon.
 
-use std::io::Write;
 use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use chervilring_core::agent::{Agent, AgentSettings as Decisions};
 use chervilring_wire::{AgentId, Incarnation, Micros};
 use eyre::WrapErr;
-use serde_json::json;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use slog::info;
@@ -18,6 +16,7 @@
 use super::dialer::Dialer;
 use super::exposition::Exposition;
 use super::http;
+use crate::listening;
 use crate::log;
 use crate::net::{Clock, Datagrams, EventLoop, Inbox, Links};
 use crate::settings::AgentSettings;
@@ -74,7 +73,7 @@
         log: log.clone(),
     };
     call!([actor], AgentActor::init(parts));
-    print_addresses(http)?;
+    listening::announce(Some(http), None);
     info!(log, "started"; "http" => %http);
     event_loop.run()?;
     info!(log, "stopped"; "pid" => std::process::id());
@@ -103,10 +102,3 @@
     thread.spawn(move || signals.forever().for_each(|signal| inbox.push(signal)))?;
     Ok(())
 }
-
-fn print_addresses(http: std::net::SocketAddr) -> eyre::Result<()> {
-    let mut out = std::io::stdout().lock();
-    writeln!(out, "{}", json!({"listening": {"http": http.to_string()}}))?;
-    out.flush()?;
-    Ok(())
-}
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -81,7 +81,12 @@
     registry: Registry,
     reload: Reload<PlannerConfig>,
 ) -> eyre::Result<()> {
-    let log = log::output_logger(slog::Level::Info, "planner", &config.name);
+    let log = log::logger(
+        log::LogFormat::Json,
+        slog::Level::Info,
+        "planner",
+        &config.name,
+    );
     let mut event_loop = EventLoop::new()?;
     let poll = event_loop.poll.clone();
     let stakker = &mut event_loop.stakker;
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -35,13 +35,14 @@
             route,
             version,
             answer,
+            patience,
             span,
             wait,
             starts,
             met,
         } => {
             info!(log, "answered"; "job" => %job, "request" => &**request, "route" => &**route, "config" => version,
-                "answer" => ?answer, "took_us" => span.0, "waited_us" => wait.map(|w| w.0),
+                "answer" => ?answer, "patience_us" => patience.0, "took_us" => span.0, "waited_us" => wait.map(|w| w.0),
                 "starts" => starts, "objective_met" => met);
         }
         PlannerEvent::Abandoned { job, runs } => {
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -75,7 +75,12 @@
     registry: Registry,
     reload: Reload<RunnerConfig>,
 ) -> eyre::Result<()> {
-    let log = log::output_logger(slog::Level::Info, "runner", &config.name);
+    let log = log::logger(
+        log::LogFormat::Json,
+        slog::Level::Info,
+        "runner",
+        &config.name,
+    );
     let mut event_loop = EventLoop::new()?;
     let poll = event_loop.poll.clone();
     let stakker = &mut event_loop.stakker;
--- a/crates/chervilring_dev/src/process/child.rs
+++ b/crates/chervilring_dev/src/process/child.rs
@@ -18,7 +18,7 @@
 
 use super::wait::{BOUND, wait_for};
 
-/// Lines of standard error that are kept for a report.
+/// Lines of its output that are kept for a report.
 const KEPT_LINES: usize = 200;
 
 /// The word by which the developers' program runs the shipped one.
@@ -93,11 +93,13 @@
         if let Some(stderr) = child.stderr.take() {
             keep_lines(stderr, Arc::clone(&lines));
         }
-        let first = child.stdout.take().map(read_first).map(Mutex::new);
+        let kept = Arc::clone(&lines);
+        let stdout = child.stdout.take();
+        let address = stdout.map(|s| Mutex::new(read_output(s, kept)));
         Ok(Process {
             name: self.name.clone(),
             child,
-            first,
+            address,
             listening: None,
             lines,
         })
@@ -146,8 +148,8 @@
 pub struct Process {
     name: String,
     child: Child,
-    /// Brings the first line of standard output; locked so that threads can share the process.
-    first: Option<Mutex<Receiver<String>>>,
+    /// Brings where the process listens; locked so that threads can share the process.
+    address: Option<Mutex<Receiver<Listening>>>,
     listening: Option<Listening>,
     lines: Arc<Mutex<VecDeque<String>>>,
 }
@@ -159,16 +161,14 @@
     ///
     /// Returns an error with its last log lines when it ends or does not listen in time.
     pub fn listen(&mut self) -> eyre::Result<()> {
-        let Some(first) = self.first.take() else {
+        let Some(address) = self.address.take() else {
             return Ok(());
         };
-        let first = first.into_inner().unwrap_or_else(PoisonError::into_inner);
-        let line = first
+        let address = address.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let listening = address
             .recv_timeout(BOUND)
             .map_err(|_| eyre!("{} does not listen:\n{}", self.name, self.log()))?;
-        let line: Line = serde_json::from_str(&line)
-            .wrap_err_with(|| format!("{} printed {line:?}:\n{}", self.name, self.log()))?;
-        self.listening = Some(line.listening);
+        self.listening = Some(listening);
         Ok(())
     }
 
@@ -274,16 +274,17 @@
     }
 }
 
-/// Reads the first line of standard output, and throws the rest away.
-fn read_first(stdout: ChildStdout) -> Receiver<String> {
+/// Reads standard output: where the process listens is sent on, the log lines are kept.
+fn read_output(stdout: ChildStdout, kept: Arc<Mutex<VecDeque<String>>>) -> Receiver<Listening> {
     let (sender, receiver) = channel();
     thread::spawn(move || {
-        let mut lines = BufReader::new(stdout).lines();
-        if let Some(Ok(line)) = lines.next() {
-            // Nobody may be waiting any more.
-            let _ = sender.send(line);
+        for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+            match serde_json::from_str::<Line>(&line) {
+                // Nobody may be waiting any more.
+                Ok(Line { listening }) => drop(sender.send(listening)),
+                Err(_) => keep(&kept, line),
+            }
         }
-        lines.for_each(drop);
     });
     receiver
 }
@@ -292,11 +293,15 @@
 fn keep_lines(stderr: ChildStderr, kept: Arc<Mutex<VecDeque<String>>>) {
     thread::spawn(move || {
         for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-            let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
-            if kept.len() == KEPT_LINES {
-                kept.pop_front();
-            }
-            kept.push_back(line);
+            keep(&kept, line);
         }
     });
 }
+
+fn keep(kept: &Mutex<VecDeque<String>>, line: String) {
+    let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+    if kept.len() == KEPT_LINES {
+        kept.pop_front();
+    }
+    kept.push_back(line);
+}
