Planner: jobs sent again yield to new ones; late ones take room to spare

The log line of an answer now shows what tells them apart: callers name what is left of their time, on the routes' first sendings 1.8 to 10 s, on later ones 0.2 to 1.3 s, with a route timeout of 1.5 s.

Ruled out: the planners' memory of ids (gone with them), the request's name (new at each sending), a learnt usual patience (empty after a restart, when it is needed). Where most callers of a route come with less than its timeout, the sign is ignored.

Also: a job that could only be late was never placed, even with upstreams idle, and refused after its hold. It now takes room that is to spare, is held for the same share, and goes behind all that is in time.

--- a/crates/chervilring_core/src/runs/planner/admission.rs
+++ b/crates/chervilring_core/src/runs/planner/admission.rs
@@ -10,6 +10,8 @@
 pub struct Hold {
     /// When it came in.
     pub arrived: Time,
+    /// How long its objective gives it from its first sending.
+    pub span: Micros,
     /// When its objective is missed.
     pub objective: Time,
     /// When its caller stops waiting.
@@ -21,11 +23,15 @@
 }
 
 /// Returns until when a job may wait for its first task: a share of its objective, but not so long
-/// that it would be late or its caller gone when it ends.
+/// that it would be late or its caller gone when it ends. One that is late anyway may wait until its
+/// caller would be gone.
 pub fn hold(ask: &Hold) -> Time {
-    let span = ask.arrived.until(ask.objective);
-    let share = Micros((span.0 as f64 * ask.share) as u64);
-    let end = ask.objective.min(ask.deadline);
-    let latest = end - ask.chain;
+    let share = Micros((ask.span.0 as f64 * ask.share) as u64);
+    let timely = ask.objective.min(ask.deadline) - ask.chain;
+    let latest = if timely > ask.arrived {
+        timely
+    } else {
+        ask.deadline - ask.chain
+    };
     (ask.arrived + share).min(latest).max(ask.arrived)
 }
--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -52,6 +52,8 @@
         answer: JobAnswer,
         /// How long its caller was willing to wait when it came.
         patience: Micros,
+        /// How long its caller had waited before this sending, if it was not the first.
+        waited: Option<Micros>,
         /// The time from its arrival.
         span: Micros,
         /// Time from its arrival to its first start; absent when nothing was started.
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -89,6 +89,8 @@
     pub(super) new: NewJob,
     pub(super) callers: Vec<Caller>,
     pub(super) arrived: Time,
+    /// How long its caller had waited before this sending, if it was not the first.
+    pub(super) waited: Option<Micros>,
     /// When its objective is missed.
     pub(super) objective: Time,
     /// Until when its first task may wait.
--- a/crates/chervilring_core/src/runs/planner/placement.rs
+++ b/crates/chervilring_core/src/runs/planner/placement.rs
@@ -53,17 +53,13 @@
 ///
 /// Of those that meet the objective one without a wait is taken; of these a slow one rather than a
 /// fast one, and the one with most free: planners that choose at the same time then seldom meet. A
-/// job that has been started and is late goes where it ends first, behind all that is in time.
+/// job that has been started and is late goes where it ends first, behind all that is in time; one
+/// that has not been started and can only be late goes where there is room to spare.
 pub fn choose(offers: &[Offer], wish: &Wish, mut tie: impl FnMut() -> f64) -> Choice {
     let mut best: Option<(usize, f64)> = None;
-    let mut spare: Option<(usize, Time)> = None;
     let mut hope = false;
     for (place, offer) in offers.iter().enumerate().filter(|(_, o)| o.open) {
         hope = hope || ends(offer, Micros(0), wish) <= wish.objective;
-        let end = wish.now + offer.wait + offer.run;
-        if spare.is_none_or(|(_, other)| end < other) {
-            spare = Some((place, end));
-        }
         let late = ends(offer, offer.wait, wish) > wish.objective;
         if late || wish.now + offer.wait > wish.latest {
             continue;
@@ -76,12 +72,25 @@
     if let Some((place, _)) = best {
         return Choice::Take(place);
     }
-    match spare {
-        Some((place, end)) if wish.started && !hope && end < wish.deadline => Choice::Take(place),
-        _ => Choice::Wait,
+    if hope {
+        return Choice::Wait;
     }
+    choose_late(offers, wish).map_or(Choice::Wait, Choice::Take)
+}
+
+/// Chooses for a job that can only be late.
+fn choose_late(offers: &[Offer], wish: &Wish) -> Option<usize> {
+    let end = |offer: &Offer| wish.now + offer.wait + offer.run;
+    let roomy = |offer: &Offer| offer.wait == Micros(0) && offer.free >= LATE_ROOM;
+    let fits =
+        |offer: &Offer| offer.open && end(offer) < wish.deadline && (wish.started || roomy(offer));
+    let rows = offers.iter().enumerate().filter(|(_, o)| fits(o));
+    rows.min_by_key(|(_, o)| end(o)).map(|(place, _)| place)
 }
 
+/// The share of an upstream that stays free for jobs that can be in time.
+const LATE_ROOM: f64 = 0.3;
+
 /// How much chance weighs beside the free share.
 const SPREAD: f64 = 0.2;
 
--- a/crates/chervilring_core/src/runs/planner/settings.rs
+++ b/crates/chervilring_core/src/runs/planner/settings.rs
@@ -11,6 +11,8 @@
     pub seed: u64,
     /// When a refused caller is told to come back.
     pub comeback: Micros,
+    /// How long callers wait at the least before they send a job again that got no answer.
+    pub resend: Micros,
 }
 
 /// A caller who hears of a refusal within this share of the objective can still go elsewhere.
@@ -19,12 +21,16 @@
 /// Bursts last for seconds: a caller who comes back sooner meets the same one.
 const COMEBACK: Micros = Micros::from_secs(1);
 
+/// What callers of the users' platform do, where the settings say nothing else.
+const RESEND: Micros = Micros::from_millis(1_300);
+
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
             hold: HOLD_SHARE,
             seed: 1,
             comeback: COMEBACK,
+            resend: RESEND,
         }
     }
 }
--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -103,6 +103,7 @@
             version: job.new.version,
             answer,
             patience: job.arrived.until(job.new.deadline),
+            waited: job.waited,
             span: now.since(job.arrived),
             wait: job.started.map(|at| at.since(job.arrived)),
             starts: job.starts,
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -11,6 +11,7 @@
 use super::event::{LossCause, PlannerEvent};
 use super::job::{Caller, Job, NewJob, Task, TaskState};
 use super::links::LinkNo;
+use super::resend::{Resends, Sending};
 use super::settings::PlannerSettings;
 use super::upstream::{Profile, Upstream};
 use crate::runs::bounds::{BEAT, RUN_GONE};
@@ -82,6 +83,8 @@
     pub(super) random: fastrand::Rng,
     /// The highest attempt of jobs that were answered lately, and until when that is kept.
     pub(super) past: FxHashMap<JobId, (u32, Time)>,
+    /// Tells new jobs from those that are sent again.
+    pub(super) resends: Resends,
     /// When the next heartbeats are due.
     pub(super) beat: Time,
     /// Whether there may be room for waiting tasks since they were last looked at.
@@ -103,6 +106,7 @@
             steps: Vec::new(),
             config: None,
             past: FxHashMap::default(),
+            resends: Resends::default(),
             beat: now + BEAT,
             changed: false,
             last: 0,
@@ -117,9 +121,17 @@
         }
         let chain = new.chain();
         let slack = Micros((chain.0 as f64 * new.route.slack) as u64);
-        let objective = now + slack + new.route.target;
+        let span = slack + new.route.target;
+        let sending = Sending {
+            route: &new.route.name,
+            patience: now.until(new.deadline),
+            timeout: new.route.timeout,
+        };
+        let waited = self.resends.waited(&sending, self.settings.resend);
+        let objective = now + span - waited.unwrap_or_default();
         let hold = hold(&Hold {
             arrived: now,
+            span,
             objective,
             deadline: new.deadline,
             chain,
@@ -135,6 +147,7 @@
             new,
             callers: vec![caller],
             arrived: now,
+            waited,
             objective,
             hold,
             started: None,
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -75,8 +75,9 @@
             // What is late anyway takes what is left over.
             let rank = match (job.is_sent(), now < key) {
                 (true, true) => 0,
-                (false, _) => 1,
+                (false, true) => 1,
                 (true, false) => 2,
+                (false, false) => 3,
             };
             waits.then_some((rank, key, no))
         };
--- a/crates/chervilring_core/tests/runs/order.rs
+++ b/crates/chervilring_core/tests/runs/order.rs
@@ -148,3 +148,28 @@
     // One upstream in four is lost to them by its speed, another by its turn.
     assert!(share >= 2.0 / 3.0, "{share:.3} in time");
 }
+
+#[test]
+fn after_all_planners_were_lost_new_jobs_go_before_those_sent_again() {
+    let mut world = started(14);
+    // 13.5 task-seconds a second, and beside them those of the time without planners.
+    let counting = |mut job: Wanted| {
+        job.counts = true;
+        job
+    };
+    let mut all = Vec::new();
+    for id in 0..270 {
+        let at = world.rng.u64(0..LOAD);
+        let job = if id % 2 == 0 { booking } else { lookup };
+        all.push(world.want(at, counting(job(1_000 + id))));
+    }
+    for planner in 0..3 {
+        world.at(2_000_000, Happening::KillPlanner(planner));
+    }
+    world.run(LOAD + 5_000_000);
+    let back = world.planners_back;
+    let new = |p: &usize| world.jobs[*p].first > back;
+    let new: Vec<usize> = all.iter().copied().filter(new).collect();
+    let share = in_time(&world, &new);
+    assert!(share >= 0.9, "{share:.3} of {} new jobs in time", new.len());
+}
--- a/crates/chervilring_core/tests/runs/placing.rs
+++ b/crates/chervilring_core/tests/runs/placing.rs
@@ -99,3 +99,16 @@
     closed.open = false;
     assert_eq!(pick(&[closed], &wish(156)), Choice::Wait);
 }
+
+#[test]
+fn a_job_that_can_only_be_late_takes_room_to_spare() {
+    let late = wish(40);
+    assert_eq!(pick(&[offer(60, 0, 0.5)], &late), Choice::Take(0));
+    assert_eq!(pick(&[offer(60, 0, 0.1)], &late), Choice::Wait);
+    assert_eq!(pick(&[offer(60, 5, 0.5)], &late), Choice::Wait);
+    let gone = Wish {
+        deadline: Time(50_000),
+        ..late
+    };
+    assert_eq!(pick(&[offer(60, 0, 0.5)], &gone), Choice::Wait);
+}
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -36,13 +36,14 @@
             version,
             answer,
             patience,
+            waited,
             span,
             wait,
             starts,
             met,
         } => {
             info!(log, "answered"; "job" => %job, "request" => &**request, "route" => &**route, "config" => version,
-                "answer" => ?answer, "patience_us" => patience.0, "took_us" => span.0, "waited_us" => wait.map(|w| w.0),
+                "answer" => ?answer, "patience_us" => patience.0, "sent_before_us" => waited.map(|w| w.0), "took_us" => span.0, "waited_us" => wait.map(|w| w.0),
                 "starts" => starts, "objective_met" => met);
         }
         PlannerEvent::Abandoned { job, runs } => {
