Runner: a full queue makes way for urgent runs; planners count what waits in the same step

A runner counted all that waited, a planner only what goes first; and a planner took runs that wait in the same step of patience (15 to 500 ms) for later ones.

Ruled out: outdated states (0.002 to 0.9 ms old when the tasks were placed again); twins, which now have a reason of their own.

Now a run that is more urgent than others takes the place of those that can wait longest, planners leave out upstreams whose queue is full of what goes first, and count their own step as ahead.

Conclusion: kept for the load it takes off runners and logs.

--- a/crates/chervilring_core/src/runs/bounds.rs
+++ b/crates/chervilring_core/src/runs/bounds.rs
@@ -18,3 +18,20 @@
 /// How late a planner's own tick may be before its beliefs count as outdated: its links have
 /// ended by then.
 pub const PAUSE_LIMIT: Micros = LINK_SILENCE;
+
+/// The steps in which planners are told how long runs can wait: finer ones would change, and be
+/// told, all the time.
+const PATIENCE: [Micros; 6] = [
+    Micros::from_millis(15),
+    Micros::from_millis(30),
+    Micros::from_millis(60),
+    Micros::from_millis(120),
+    Micros::from_millis(250),
+    Micros::from_millis(500),
+];
+
+/// Returns the upper end of the step in which a span lies for which a run can wait.
+pub(crate) fn patience_step(span: Micros) -> Micros {
+    let edge = PATIENCE.into_iter().find(|&edge| span <= edge);
+    edge.unwrap_or(Micros(u64::MAX))
+}
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -43,10 +43,13 @@
     fn offer(&self, demand: &Resources, avoid: Option<&Name>) -> Offer {
         let asked = self.asked.plus(demand);
         let all = self.state.capacity.cpu.max(1) as f64;
+        // A runner keeps no longer a queue than its upstream holds at once.
+        let queue = asked.minus(&self.state.free);
+        let taken = self.room > 0 && self.state.capacity.holds(&queue);
         Offer {
             run: self.run,
             wait: wait(&self.state, &asked),
-            open: self.room > 0 && avoid != Some(&self.name),
+            open: taken && avoid != Some(&self.name),
             free: (self.state.free.cpu as f64 - self.asked.cpu as f64) / all,
         }
     }
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -6,6 +6,7 @@
 
 use super::health::Health;
 use super::speed::Speed;
+use crate::runs::bounds::patience_step;
 
 /// What is learnt of an upstream; it is kept while the link to it comes and goes.
 #[derive(Debug, Clone, Default)]
@@ -71,7 +72,9 @@
             .queued
             .iter()
             .chain(self.unseen.iter().map(|(_, q)| q));
-        let first = waiting.filter(|q| q.patience <= patience);
+        // Of its own step some go first; all are counted.
+        let step = patience_step(patience);
+        let first = waiting.filter(|q| q.patience <= step);
         first.fold(Resources::default(), |sum, q| sum.plus(&q.demand))
     }
 
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -20,10 +20,11 @@
         };
         row.number = start.number;
         let free = self.free();
+        let latest = now + start.patience;
         let first = start.runs.first().copied();
         let mut taken = 0;
         for run in start.runs {
-            if let Some(reason) = self.refusal(&start.service, &run, &start.demand) {
+            if let Some(reason) = self.refusal(&start.service, &run, &start.demand, latest) {
                 self.refuse(run, Some(link), reason);
                 continue;
             }
@@ -35,7 +36,7 @@
                 state: RunState::Queued,
                 doomed: false,
                 taken: now,
-                latest: now + start.patience,
+                latest,
             };
             self.runs.insert(run, row);
         }
@@ -48,6 +49,24 @@
             self.steps.push(RunnerStep::Log(event));
         }
         self.start_queued(now);
+        self.trim_queue();
+    }
+
+    /// Refuses the runs that can wait longest while more waits than the upstream holds at once.
+    fn trim_queue(&mut self) {
+        let Some(capacity) = self.worker.as_ref().map(|w| w.report.capacity) else {
+            return;
+        };
+        while !capacity.holds(&self.queued()) {
+            let waits = |(_, r): &(&RunKey, &Run)| r.state == RunState::Queued;
+            let rows = self.runs.iter().filter(waits);
+            let Some((&run, row)) = rows.max_by_key(|(run, r)| (r.latest, **run)) else {
+                return;
+            };
+            let link = row.link;
+            self.runs.remove(&run);
+            self.refuse(run, link, RefuseReason::Room);
+        }
     }
 
     /// Starts the runs that wait, the most urgent first, as far as there is room.
@@ -97,12 +116,13 @@
         }
     }
 
-    /// Returns why a run is not taken on, if it is not.
+    /// Returns why a run that is to begin by `latest` is not taken on, if it is not.
     fn refusal(
         &self,
         service: &ServiceName,
         run: &RunKey,
         demand: &Resources,
+        latest: Time,
     ) -> Option<RefuseReason> {
         let Some(worker) = self.worker.as_ref().filter(|_| self.is_open()) else {
             return Some(RefuseReason::Closed);
@@ -113,12 +133,15 @@
         // Another run of the same task is still here, for another planner or being stopped.
         let task = |r: &RunKey| (r.job, r.occurrence, r.step, r.index);
         let twin = self.runs.keys().any(|r| task(r) == task(run));
-        let capacity = &worker.report.capacity;
-        let queue = self.queued().plus(demand);
-        if twin || !capacity.holds(demand) || !capacity.holds(&queue) {
-            return Some(RefuseReason::Room);
+        if twin {
+            return Some(RefuseReason::Twin);
         }
-        None
+        // Those that can wait longer make way.
+        let ahead = |r: &&Run| r.state == RunState::Queued && r.latest <= latest;
+        let rows = self.runs.values().filter(ahead);
+        let queue = rows.fold(*demand, |sum, r| sum.plus(&r.demand));
+        let holds = worker.report.capacity.holds(&queue);
+        (!holds).then_some(RefuseReason::Room)
     }
 
     pub(super) fn start_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -11,23 +11,12 @@
 use super::event::RunnerEvent;
 use super::links::Link;
 use super::worker::{Report, Worker};
-use crate::runs::bounds::{BEAT, RUN_GONE};
+use crate::runs::bounds::{BEAT, RUN_GONE, patience_step};
 use crate::runs::planner::LinkNo;
 
 /// How long runs are assumed to take before the first has ended, in microseconds.
 const FIRST_SPAN: f64 = 150_000.0;
 
-/// The steps in which planners are told how long runs can wait: finer ones would change, and be
-/// told, all the time.
-const PATIENCE: [Micros; 6] = [
-    Micros::from_millis(15),
-    Micros::from_millis(30),
-    Micros::from_millis(60),
-    Micros::from_millis(120),
-    Micros::from_millis(250),
-    Micros::from_millis(500),
-];
-
 /// What is to be carried out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RunnerStep {
@@ -227,8 +216,7 @@
         let mut rows: Vec<Queued> = Vec::new();
         for run in self.runs.values().filter(|r| r.state == RunState::Queued) {
             let left = now.until(run.latest);
-            let edge = PATIENCE.into_iter().find(|&edge| left <= edge);
-            let patience = edge.unwrap_or(Micros(u64::MAX));
+            let patience = patience_step(left);
             match rows.iter_mut().find(|row| row.patience == patience) {
                 Some(row) => row.demand = row.demand.plus(&run.demand),
                 None => rows.push(Queued {
--- a/crates/chervilring_core/tests/runs/order.rs
+++ b/crates/chervilring_core/tests/runs/order.rs
@@ -173,3 +173,22 @@
     let share = in_time(&world, &new);
     assert!(share >= 0.9, "{share:.3} of {} new jobs in time", new.len());
 }
+
+#[test]
+fn full_queues_make_way_for_urgent_runs_and_are_not_asked_again_and_again() {
+    let mut world = started(15);
+    // 42 task-seconds at once, which can wait for half a second, and then urgent ones.
+    for id in 0..24 {
+        world.want(1_000_000, diagnosis(1_000 + id));
+    }
+    for id in 0..60 {
+        world.want(1_050_000 + id * 10_000, lookup(2_000 + id));
+    }
+    world.run(LOAD);
+    let tasks: u32 = world.jobs.iter().map(|job| job.count).sum();
+    let refused = world.refusals;
+    assert!(
+        refused <= tasks,
+        "{tasks} tasks were refused {refused} times"
+    );
+}
--- a/crates/chervilring_core/tests/runs/world.rs
+++ b/crates/chervilring_core/tests/runs/world.rs
@@ -9,7 +9,9 @@
 };
 use chervilring_core::runs::runner::{CallOutcome, RunnerStep, WorkerCall};
 use chervilring_core::runs::{PAUSE_LIMIT, Planner, Route, Runner};
-use chervilring_wire::{JobId, Micros, PlannerMessage, Resources, RunKey, RunnerMessage, Time};
+use chervilring_wire::{
+    JobId, Micros, PlannerMessage, RefuseReason, Resources, RunKey, RunnerMessage, Time,
+};
 
 use super::upstream::{TaskName, Upstream, name_of};
 
@@ -166,6 +168,8 @@
     /// Runs started since the newest try of a job.
     started: BTreeMap<u64, u32>,
     pub(crate) starts: u32,
+    /// Runs that runners had no room for.
+    pub(crate) refusals: u32,
     traced: bool,
 }
 
@@ -201,6 +205,7 @@
             callers: BTreeMap::new(),
             started: BTreeMap::new(),
             starts: 0,
+            refusals: 0,
             traced: std::env::var_os("CHERVILRING_TRACE").is_some(),
         };
         for place in 0..planners {
@@ -699,7 +704,12 @@
 
     fn runner_step(&mut self, r: usize, step: RunnerStep) {
         match step {
-            RunnerStep::Send { link, message } => self.send(link.0, Packet::ToPlanner(message)),
+            RunnerStep::Send { link, message } => {
+                let refused = matches!(&message, RunnerMessage::Refused { reason, .. }
+                    if *reason == RefuseReason::Room);
+                self.refusals += u32::from(refused);
+                self.send(link.0, Packet::ToPlanner(message));
+            }
             RunnerStep::Close(link) => self.send(link.0, Packet::EndAtPlanner),
             RunnerStep::Call(call) => self.call(r, call),
             RunnerStep::Log(event) => self.note(&format!("runner {r}: {event:?}")),
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -232,6 +232,8 @@
     Invalid,
     /// It was to be stopped before it had started.
     Stopped,
+    /// Another run of the same task is still there.
+    Twin,
 }
 
 /// How a run has ended.
