Planner and runner: what is due is done once for all that came in; jobs are looked at when due

Now messages that come in together are followed by one pass; a job is looked at when its hold, its deadline or a task of it is due, or something of it has changed; states are borrowed while tasks are placed.

--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -7,6 +7,9 @@
 use super::links::LinkNo;
 use crate::runs::route::Route;
 
+/// How often a task that can hardly end before its caller leaves is looked at.
+const RECHECK: Micros = Micros::from_millis(10);
+
 /// Names a caller who waits for an answer; never used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Caller(pub u64);
@@ -102,6 +105,8 @@
     pub(super) tasks: Vec<Task>,
     /// When its tasks were last tried to be placed.
     pub(super) looked: Time,
+    /// When it was last looked at whether it can still be served.
+    pub(super) settled: Time,
     /// Runs sent so far.
     pub(super) starts: u32,
 }
@@ -162,19 +167,22 @@
 
     /// Returns when it is to be looked at even if nothing happens.
     pub(super) fn due(&self) -> Time {
-        let waits = |t: &Task| match t.state {
-            TaskState::Waiting(at) => Some(at),
-            _ => None,
-        };
         let held = self.started.is_none() && !self.withdrawn;
-        let end = if held { self.hold } else { self.new.deadline };
-        // Tasks that wait for an upstream since before are placed when that changes.
-        let lost = self
-            .tasks
-            .iter()
-            .filter_map(waits)
-            .filter(|&at| at > self.looked);
-        lost.min().unwrap_or(Time::NEVER).min(end)
+        let mut due = if held { self.hold } else { self.new.deadline };
+        for task in &self.tasks {
+            let TaskState::Waiting(at) = task.state else {
+                continue;
+            };
+            // Tasks that wait for an upstream since before are placed when that changes.
+            if at > self.looked {
+                due = due.min(at);
+            }
+            if self.started.is_some() {
+                let late = self.new.deadline - self.new.steps[task.step].size;
+                due = due.min(late.max(self.settled + RECHECK));
+            }
+        }
+        due
     }
 
     /// Returns the runs that may be going on, each with the link to its upstream.
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -27,10 +27,10 @@
 }
 
 /// An upstream while tasks are placed.
-struct Slot {
+struct Slot<'a> {
     link: LinkNo,
-    name: Name,
-    state: UpstreamState,
+    name: &'a Name,
+    state: &'a UpstreamState,
     /// What is asked of it beyond what runs, and goes first.
     asked: Resources,
     run: Micros,
@@ -38,7 +38,7 @@
     room: u32,
 }
 
-impl Slot {
+impl Slot<'_> {
     /// Returns what it offers to a task that must not go to an upstream of a name.
     fn offer(&self, demand: &Resources, avoid: Option<&Name>) -> Offer {
         let asked = self.asked.plus(demand);
@@ -48,8 +48,8 @@
         let taken = self.room > 0 && self.state.capacity.holds(&queue);
         Offer {
             run: self.run,
-            wait: wait(&self.state, &asked),
-            open: taken && avoid != Some(&self.name),
+            wait: wait(self.state, &asked),
+            open: taken && avoid != Some(self.name),
             free: (self.state.free.cpu as f64 - self.asked.cpu as f64) / all,
         }
     }
@@ -119,6 +119,8 @@
         step: usize,
         due: &[usize],
     ) -> (Vec<Place>, u32) {
+        // Its own source of chance, as the tables stay borrowed below.
+        let mut random = self.random.fork();
         let Some(job) = self.jobs.get(&no) else {
             return (Vec::new(), 0);
         };
@@ -137,14 +139,13 @@
         let mut places: Vec<Place> = Vec::new();
         for &task in due {
             let avoid = job.tasks[task].avoid.as_ref();
-            let others = slots.iter().any(|s| s.room > 0 && Some(&s.name) != avoid);
+            let others = slots.iter().any(|s| s.room > 0 && Some(s.name) != avoid);
             offers.clear();
             offers.extend(
                 slots
                     .iter()
                     .map(|s| s.offer(&row.demand, avoid.filter(|_| others))),
             );
-            let random = &mut self.random;
             let Choice::Take(place) = choose(&offers, &wish, || random.f64()) else {
                 left += 1;
                 continue;
@@ -166,7 +167,7 @@
     }
 
     /// Returns the upstreams that tasks of a step may use.
-    fn slots(&self, now: Time, job: &Job, step: usize) -> Vec<Slot> {
+    fn slots<'a>(&'a self, now: Time, job: &Job, step: usize) -> Vec<Slot<'a>> {
         let row = &job.new.steps[step];
         let service = job.new.route.service.as_str();
         let mut slots = Vec::with_capacity(self.links.len());
@@ -197,8 +198,8 @@
             }
             slots.push(Slot {
                 link,
-                name: upstream.name.clone(),
-                state: state.clone(),
+                name: &upstream.name,
+                state,
                 asked: upstream.ahead(patience),
                 run,
                 room,
--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -18,6 +18,7 @@
         if let Some(job) = self.jobs.get_mut(&no) {
             // One that was called back and has begun all the same goes on.
             job.withdrawn = job.withdrawn && job.started.is_none();
+            job.settled = now;
         }
         let Some(job) = self.jobs.get(&no) else {
             return;
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -152,6 +152,7 @@
             hold,
             started: None,
             looked: now,
+            settled: now,
             starts: 0,
             withdrawn: false,
         };
@@ -214,9 +215,10 @@
             }
             RunnerMessage::State(state) => self.set_state(now, link, state),
             RunnerMessage::Started(run) => {
-                if let Some((no, _)) = self.runs.get(&run).filter(|_| self.is_at(&run, link)) {
-                    let job = self.jobs.get_mut(no);
+                if let Some(&(no, _)) = self.runs.get(&run).filter(|_| self.is_at(&run, link)) {
+                    let job = self.jobs.get_mut(&no);
                     job.map(|j| j.started.get_or_insert(now));
+                    self.settle(now, no);
                 }
             }
             RunnerMessage::Refused { run, reason } => {
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -23,12 +23,12 @@
             self.profiles.retain(|_, p| now.since(p.seen) < PROFILE_AGE);
             self.past.retain(|_, (_, until)| now < *until);
         }
-        let lost = self.jobs.values().any(|j| j.due() <= now);
-        if self.changed || lost {
+        let rows = self.jobs.iter().filter(|(_, j)| j.due() <= now);
+        let due: Vec<u64> = rows.map(|(&no, _)| no).collect();
+        if self.changed || !due.is_empty() {
             self.changed = false;
             self.schedule(now);
         }
-        let due: Vec<u64> = self.jobs.keys().copied().collect();
         for no in due {
             self.settle(now, no);
         }
@@ -105,7 +105,7 @@
             runs: lost.len() as u32,
         };
         self.steps.push(PlannerStep::Log(event));
-        for (run, no, place) in lost {
+        for &(run, no, place) in &lost {
             self.steps.push(PlannerStep::Log(PlannerEvent::RunLost {
                 run,
                 runner: Some(upstream.name.clone()),
@@ -117,6 +117,9 @@
                 job.tasks[place].state = TaskState::Waiting(gone);
             }
         }
+        for (_, no, _) in lost {
+            self.settle(now, no);
+        }
         self.changed = true;
     }
 
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -65,6 +65,8 @@
     parts: Parts,
     routes: Option<RouteTable>,
     timer: Option<FixedTimerKey>,
+    /// Whether what is due is about to be done.
+    pending: bool,
     /// When a stop was asked for.
     stopping: Option<Time>,
     sweep: Time,
@@ -168,6 +170,7 @@
             parts,
             routes: None,
             timer: None,
+            pending: false,
             stopping: None,
         };
         this.carry(cx);
@@ -175,9 +178,18 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
+        self.pending = false;
         self.carry(cx);
     }
 
+    /// Has what is due done once all that has come in by now is taken in.
+    fn carry_soon(&mut self, cx: CX![]) {
+        if !self.pending {
+            self.pending = true;
+            call!([cx], tick());
+        }
+    }
+
     /// Takes in what other threads tell.
     fn events(&mut self, cx: CX![], events: Vec<Told<PlannerConfig>>) {
         for event in events {
@@ -193,7 +205,7 @@
                 Told::BadSettings(error) => told::log_bad_settings(&self.parts.log, &error),
             }
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Handles what callers send.
@@ -202,7 +214,7 @@
         let now = self.parts.clock.time();
         let events = self.parts.callers.handle(now, ready);
         self.caller_events(now, events);
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     fn caller_events(&mut self, now: Time, events: Vec<HttpEvent>) {
@@ -253,7 +265,7 @@
                 self.parts.ready.answer(now, conn, &answer);
             }
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Serves the metrics.
@@ -267,7 +279,7 @@
         let version = self.routes.as_ref().map_or(0, |r| r.version);
         report.version.record(version, &[]);
         told::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Accepts links of runners.
@@ -277,7 +289,7 @@
                 warn!(self.parts.log, "link not accepted"; "error" => %error);
             }
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Reads from and writes to a link.
@@ -293,7 +305,7 @@
         if state == LinkState::Closed {
             self.close(event.id);
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Reads all that has come in over a link.
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -61,6 +61,8 @@
 struct RunnerActor {
     parts: Parts,
     timer: Option<FixedTimerKey>,
+    /// Whether what is due is about to be done.
+    pending: bool,
     sweep: Time,
 }
 
@@ -180,15 +182,25 @@
             sweep: parts.clock.time() + SWEEP,
             parts,
             timer: None,
+            pending: false,
         };
         this.carry(cx);
         Some(this)
     }
 
     fn tick(&mut self, cx: CX![]) {
+        self.pending = false;
         self.carry(cx);
     }
 
+    /// Has what is due done once all that has come in by now is taken in.
+    fn carry_soon(&mut self, cx: CX![]) {
+        if !self.pending {
+            self.pending = true;
+            call!([cx], tick());
+        }
+    }
+
     /// Takes in what other threads tell.
     fn events(&mut self, cx: CX![], events: Vec<Told<RunnerConfig>>) {
         let now = self.parts.clock.time();
@@ -220,7 +232,7 @@
                 Told::BadSettings(error) => told::log_bad_settings(&self.parts.log, &error),
             }
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Takes in what became of calls of the upstream.
@@ -235,7 +247,7 @@
         {
             self.parts.runner.called(now, sent, &call, outcome);
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Takes in what the upstream reports.
@@ -264,7 +276,7 @@
             };
             self.parts.reports.answer(now, conn, &answer);
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Serves the metrics.
@@ -275,7 +287,7 @@
         let planners = self.parts.runner.planners() as u64;
         report.planners.record(planners, &[]);
         told::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Reads from and writes to a link.
@@ -291,7 +303,7 @@
         if state == LinkState::Closed {
             self.close(event.id);
         }
-        self.carry(cx);
+        self.carry_soon(cx);
     }
 
     /// Reads all that has come in over a link.
