Few runners keep copies of the configuration; many planners are not told each task

The losses began with a change of the configuration: a planner sent a copy of 10 KB to each runner, 0.3 s of its host's 19 Mbit/s, heartbeats waited behind it past 400 ms, and each new link began with a copy in both directions, which did the same again.

Ruled out: the processor.

Now five runners, the same for all planners, keep a copy, and are sent it once; a hello names the version kept, and a planner that knows less asks one runner for its copy. A runner tells a planner a changed state at once when it is large for so many planners and matters to choices, and else with what is sent there anyway.

--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions of a planner: which job runs when and where, and which is refused.
 
 mod admission;
+mod copies;
 mod ends;
 mod event;
 mod health;
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -80,6 +80,10 @@
     pub(super) profiles: FxHashMap<Name, Profile>,
     pub(super) steps: Vec<PlannerStep>,
     pub(super) config: Option<ConfigCopy>,
+    /// The version of the newest copy that a runner has sent.
+    pub(super) copy: u64,
+    /// From when a runner may be asked for its copy.
+    pub(super) ask: Time,
     pub(super) random: fastrand::Rng,
     /// The highest attempt of jobs that were answered lately, and until when that is kept.
     pub(super) past: FxHashMap<JobId, (u32, Time)>,
@@ -105,6 +109,8 @@
             profiles: FxHashMap::default(),
             steps: Vec::new(),
             config: None,
+            copy: 0,
+            ask: now,
             past: FxHashMap::default(),
             resends: Resends::default(),
             beat: now + BEAT,
@@ -198,15 +204,21 @@
             upstream.heard = now;
         }
         match message {
-            RunnerMessage::Hello {
-                name,
-                domain,
-                config,
-            } => {
-                if let Some(config) = config {
-                    self.steps.push(PlannerStep::Config(config));
+            RunnerMessage::Hello { name, domain, kept } => {
+                let mut upstream = Upstream::new(name, domain, now);
+                upstream.kept = kept;
+                self.greet(now, link, upstream);
+                self.ask_copy(now);
+            }
+            RunnerMessage::Kept(version) => {
+                if let Some(upstream) = self.links.get_mut(&link) {
+                    upstream.kept = upstream.kept.max(version);
                 }
-                self.greet(now, link, Upstream::new(name, domain, now));
+                self.ask_copy(now);
+            }
+            RunnerMessage::Copy(config) => {
+                self.copy = self.copy.max(config.version);
+                self.steps.push(PlannerStep::Config(config));
             }
             RunnerMessage::Beat(number) => {
                 if let Some(upstream) = self.links.get_mut(&link) {
@@ -241,7 +253,6 @@
     /// Sets the configuration that runners are to keep a copy of.
     pub fn set_config(&mut self, config: ConfigCopy) {
         self.config = Some(config);
-        self.send_beats();
     }
 
     /// Returns the steps to carry out, in order.
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -20,6 +20,8 @@
         if now >= self.beat {
             self.beat = now + BEAT;
             self.send_beats();
+            self.spread_copies();
+            self.ask_copy(now);
             self.profiles.retain(|_, p| now.since(p.seen) < PROFILE_AGE);
             self.past.retain(|_, (_, until)| now < *until);
         }
@@ -148,15 +150,7 @@
         if let Some(profile) = self.profiles.get_mut(&upstream.name) {
             profile.seen = upstream.heard;
         }
-        let newer = |c: &&chervilring_wire::ConfigCopy| c.version > upstream.version;
-        let config = self.config.as_ref().filter(newer).cloned();
-        if let Some(config) = &config {
-            upstream.version = config.version;
-        }
-        let message = PlannerMessage::Beat {
-            echo: upstream.echo,
-            config,
-        };
+        let message = PlannerMessage::Beat(upstream.echo);
         self.steps.push(PlannerStep::Send { link, message });
     }
 }
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -35,8 +35,8 @@
     pub(super) unseen: VecDeque<(u64, Queued)>,
     /// Runs of this planner there.
     pub(super) runs: u32,
-    /// The version of the configuration that the runner was told.
-    pub(super) version: u64,
+    /// The version of the configuration of which the runner keeps a copy, or was sent one.
+    pub(super) kept: u64,
 }
 
 impl Upstream {
@@ -50,7 +50,7 @@
             number: 0,
             unseen: VecDeque::new(),
             runs: 0,
-            version: 0,
+            kept: 0,
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -10,10 +10,12 @@
 mod state;
 mod stops;
 mod systems;
+mod telling;
 mod worker;
 
 pub use call::{CallOutcome, ListedEnd, ListedRun, Lists, Refused, WorkerCall, WorkerLife};
 pub use event::RunnerEvent;
 pub use lease::Lease;
 pub use state::{Runner, RunnerStep};
+pub use telling::{differs, grain};
 pub use worker::{Report, WorkerState};
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -136,13 +136,16 @@
     /// Takes in a message of a planner.
     pub fn message(&mut self, now: Time, link: LinkNo, message: PlannerMessage) {
         match message {
-            PlannerMessage::Beat { echo, config } => {
+            PlannerMessage::Beat(echo) => {
                 if let Some(row) = self.links.get_mut(&link) {
                     row.answered(echo);
                 }
-                let newest = self.config.as_ref().map_or(0, |c| c.version);
-                if let Some(config) = config.filter(|c| c.version > newest) {
-                    self.config = Some(config);
+            }
+            PlannerMessage::Keep(config) => self.keep(config),
+            PlannerMessage::AskCopy => {
+                if let Some(config) = self.config.clone() {
+                    let message = RunnerMessage::Copy(config);
+                    self.steps.push(RunnerStep::Send { link, message });
                 }
             }
             PlannerMessage::Start(start) => self.start(now, link, start),
@@ -154,6 +157,24 @@
         }
     }
 
+    /// Returns the version of the configuration of which it keeps a copy; zero for none.
+    pub(super) fn kept(&self) -> u64 {
+        self.config.as_ref().map_or(0, |c| c.version)
+    }
+
+    /// Keeps a copy of the configuration if it is newer, and tells all planners of it.
+    fn keep(&mut self, config: ConfigCopy) {
+        if config.version <= self.kept() {
+            return;
+        }
+        let version = config.version;
+        self.config = Some(config);
+        for (&link, _) in self.links.iter().filter(|(_, l)| l.greeted) {
+            let message = RunnerMessage::Kept(version);
+            self.steps.push(RunnerStep::Send { link, message });
+        }
+    }
+
     /// Takes in what became of a call that was made at `sent`.
     pub fn called(&mut self, now: Time, sent: Time, call: &WorkerCall, outcome: CallOutcome) {
         let current = self.worker.as_ref().map(|w| &w.report.life);
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -1,10 +1,12 @@
 //! What a runner does over its tables: lease, heartbeats, states, links.
 
 use chervilring_wire::{Micros, RunEnd, RunKey, RunnerMessage, Time, UpstreamState};
+use rustc_hash::FxHashSet;
 
 use super::call::{CallOutcome, Refused, WorkerCall};
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
+use super::telling::{differs, grain};
 use super::worker::{Contact, Worker, WorkerState};
 use crate::runs::bounds::{BEAT, LEASE};
 use crate::runs::planner::LinkNo;
@@ -240,6 +242,7 @@
         if now < self.past && !self.worker.as_ref().is_some_and(|w| w.known) {
             return;
         }
+        let kept = self.kept();
         for (&link, row) in &mut self.links {
             if row.greeted {
                 continue;
@@ -248,7 +251,7 @@
             let message = RunnerMessage::Hello {
                 name: self.name.clone(),
                 domain: self.domain.clone(),
-                config: self.config.clone(),
+                kept,
             };
             self.steps.push(RunnerStep::Send { link, message });
         }
@@ -291,10 +294,16 @@
             span: Micros::from_millis(self.span as u64 / 1_000),
             labels: worker.report.labels.clone(),
         };
+        let busy: FxHashSet<LinkNo> = self.steps.iter().filter_map(goes_to).collect();
+        let grain = grain(self.links.len());
         for (&link, row) in self.links.iter_mut().filter(|(_, l)| l.greeted) {
             let mut state = state.clone();
             state.number = row.number;
-            if row.told.as_ref() == Some(&state) {
+            let (is_new, is_large) = match &row.told {
+                None => (true, true),
+                Some(told) => (*told != state, differs(told, &state, grain)),
+            };
+            if !is_new || !(is_large || busy.contains(&link)) {
                 continue;
             }
             row.told = Some(state.clone());
@@ -333,6 +342,14 @@
     }
 }
 
+/// Returns the link over which a step sends something.
+fn goes_to(step: &RunnerStep) -> Option<LinkNo> {
+    match step {
+        RunnerStep::Send { link, .. } => Some(*link),
+        _ => None,
+    }
+}
+
 /// Returns why an upstream takes no work, or that it does.
 fn why_closed(worker: &Worker, leaving: bool) -> &'static str {
     if leaving {
--- /dev/null
+++ b/crates/chervilring_core/tests/runs/copies.rs
@@ -0,0 +1,98 @@
+//! Copies of the configuration at runners.
+
+use chervilring_core::runs::Planner;
+use chervilring_core::runs::planner::{LinkNo, PlannerSettings, PlannerStep};
+use chervilring_wire::{ConfigCopy, PlannerMessage, RunnerMessage, Time};
+
+/// A tenth of a second: the time between heartbeats.
+const BEAT: u64 = 100_000;
+
+fn copy(version: u64) -> ConfigCopy {
+    ConfigCopy {
+        version,
+        document: "routes".into(),
+    }
+}
+
+/// Returns a planner that is linked to so many runners, which keep a copy of a version.
+fn linked(runners: u64, kept: u64) -> Planner {
+    let mut planner = Planner::new(PlannerSettings::default(), Time(0));
+    for runner in 0..runners {
+        let message = RunnerMessage::Hello {
+            name: format!("r{runner}").as_str().into(),
+            domain: "d".into(),
+            kept,
+        };
+        planner.message(Time(0), LinkNo(runner), message);
+    }
+    planner
+}
+
+/// Returns the links to which messages of a kind go.
+fn sent(planner: &mut Planner, kind: fn(&PlannerMessage) -> bool) -> Vec<LinkNo> {
+    let steps = planner.drain().into_iter();
+    let sent = steps.filter_map(|step| match step {
+        PlannerStep::Send { link, message } if kind(&message) => Some(link),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn is_keep(message: &PlannerMessage) -> bool {
+    matches!(message, PlannerMessage::Keep(_))
+}
+
+fn is_ask(message: &PlannerMessage) -> bool {
+    matches!(message, PlannerMessage::AskCopy)
+}
+
+#[test]
+fn a_few_runners_keep_a_copy_and_are_sent_it_once() {
+    let mut planner = linked(75, 0);
+    planner.set_config(copy(3));
+    planner.tick(Time(BEAT));
+    let first = sent(&mut planner, is_keep);
+    assert_eq!(first.len(), 5);
+    planner.tick(Time(2 * BEAT));
+    assert_eq!(sent(&mut planner, is_keep), []);
+    // The same ones at another planner, and those that have it already are left alone.
+    let mut other = linked(75, 0);
+    other.set_config(copy(3));
+    other.message(Time(0), first[0], RunnerMessage::Kept(3));
+    other.tick(Time(BEAT));
+    let mut second = sent(&mut other, is_keep);
+    second.push(first[0]);
+    second.sort_unstable();
+    let mut first = first;
+    first.sort_unstable();
+    assert_eq!(second, first);
+}
+
+#[test]
+fn a_planner_without_configuration_asks_one_runner_for_its_copy() {
+    let mut planner = linked(75, 4);
+    assert_eq!(sent(&mut planner, is_ask).len(), 1);
+    planner.tick(Time(BEAT));
+    assert_eq!(sent(&mut planner, is_ask), []);
+    // No answer came.
+    planner.tick(Time(3 * BEAT));
+    let [link] = sent(&mut planner, is_ask)[..] else {
+        panic!("one runner is asked again");
+    };
+    planner.message(Time(3 * BEAT), link, RunnerMessage::Copy(copy(4)));
+    let steps = planner.drain();
+    assert!(steps.contains(&PlannerStep::Config(copy(4))), "{steps:?}");
+    planner.tick(Time(9 * BEAT));
+    assert_eq!(sent(&mut planner, is_ask), []);
+}
+
+#[test]
+fn a_planner_with_the_newest_configuration_asks_nobody() {
+    let mut planner = linked(5, 0);
+    planner.set_config(copy(4));
+    planner.message(Time(0), LinkNo(1), RunnerMessage::Kept(4));
+    planner.tick(Time(BEAT));
+    assert_eq!(sent(&mut planner, is_ask), []);
+    planner.message(Time(BEAT), LinkNo(2), RunnerMessage::Kept(5));
+    assert_eq!(sent(&mut planner, is_ask), [LinkNo(2)]);
+}
--- a/crates/chervilring_core/tests/runs/order.rs
+++ b/crates/chervilring_core/tests/runs/order.rs
@@ -192,3 +192,17 @@
         "{tasks} tasks were refused {refused} times"
     );
 }
+
+#[test]
+fn many_planners_are_not_told_each_task() {
+    let mut world = World::new(16, 14, 4, Without::Nothing);
+    world.run(300_000);
+    let all = load(&mut world, 1_000, 25, lookup);
+    world.run(LOAD + 1_000_000);
+    let share = in_time(&world, &all);
+    assert!(share >= 0.9, "{share:.3} in time");
+    // Each task changes what is free twice; telling every planner each time takes twice as much.
+    let most = world.starts * 2 * 14 / 2;
+    let told = world.states;
+    assert!(told <= most, "{told} states for {} starts", world.starts);
+}
--- a/crates/chervilring_core/tests/runs/units.rs
+++ b/crates/chervilring_core/tests/runs/units.rs
@@ -1,8 +1,8 @@
 //! The units of the decisions: holding, order, speed, health, lease.
 
 use chervilring_core::runs::planner::{Health, Hold, Pace, Resends, Sending, Speed, hold, urgency};
-use chervilring_core::runs::runner::Lease;
-use chervilring_wire::{Micros, Time};
+use chervilring_core::runs::runner::{Lease, differs, grain};
+use chervilring_wire::{Micros, Queued, Resources, Time, UpstreamState};
 use quickcheck::{TestResult, quickcheck};
 
 const MS: fn(u64) -> Micros = Micros::from_millis;
@@ -194,3 +194,57 @@
     assert!(seen[..60].iter().all(|&s| s));
     assert!(seen[80..].iter().all(|&s| !s));
 }
+
+/// An upstream of 16 cores of which so many thousandths are free.
+fn state(free: u64) -> UpstreamState {
+    let cores = |cpu| Resources {
+        cpu,
+        memory: 64_000,
+        gpu: 0,
+    };
+    UpstreamState {
+        number: 1,
+        open: true,
+        service: "work".into(),
+        capacity: cores(16_000),
+        free: cores(free),
+        queued: Vec::new(),
+        span: MS(100),
+        labels: Vec::new(),
+    }
+}
+
+#[test]
+fn few_planners_are_told_each_change_and_many_only_large_ones() {
+    assert!(differs(&state(8_000), &state(6_400), grain(3)));
+    assert!(!differs(&state(8_000), &state(6_400), grain(14)));
+    assert!(differs(&state(8_000), &state(4_000), grain(14)));
+    assert!(differs(&state(8_000), &state(3_900), grain(500)));
+}
+
+#[test]
+fn planners_are_not_told_how_much_more_than_enough_is_free() {
+    assert!(!differs(&state(16_000), &state(9_000), grain(3)));
+    assert!(differs(&state(16_000), &state(7_900), grain(3)));
+}
+
+#[test]
+fn what_closes_an_upstream_or_queues_there_is_told_at_once() {
+    let told = state(8_000);
+    let mut closed = told.clone();
+    closed.open = false;
+    assert!(differs(&told, &closed, grain(500)));
+    let mut seen = told.clone();
+    seen.number = 2;
+    assert!(differs(&told, &seen, grain(500)));
+    let mut queued = told.clone();
+    queued.queued.push(Queued {
+        patience: MS(60),
+        demand: Resources {
+            cpu: 5_000,
+            memory: 64,
+            gpu: 0,
+        },
+    });
+    assert!(differs(&told, &queued, grain(500)));
+}
--- a/crates/chervilring_core/tests/runs/world.rs
+++ b/crates/chervilring_core/tests/runs/world.rs
@@ -170,6 +170,8 @@
     pub(crate) starts: u32,
     /// Runs that runners had no room for.
     pub(crate) refusals: u32,
+    /// States of upstreams that planners were told.
+    pub(crate) states: u32,
     traced: bool,
 }
 
@@ -206,6 +208,7 @@
             started: BTreeMap::new(),
             starts: 0,
             refusals: 0,
+            states: 0,
             traced: std::env::var_os("CHERVILRING_TRACE").is_some(),
         };
         for place in 0..planners {
@@ -624,10 +627,7 @@
         let rows = self.links.iter().filter(|(_, l)| l.runner == r);
         let ids: Vec<u64> = rows.map(|(&id, _)| id).collect();
         for id in ids {
-            let message = PlannerMessage::Beat {
-                echo: u64::MAX,
-                config: None,
-            };
+            let message = PlannerMessage::Beat(u64::MAX);
             self.wake_runner(r, |core, now| core.message(now, LinkNo(id), message));
         }
     }
@@ -708,6 +708,7 @@
                 let refused = matches!(&message, RunnerMessage::Refused { reason, .. }
                     if *reason == RefuseReason::Room);
                 self.refusals += u32::from(refused);
+                self.states += u32::from(matches!(&message, RunnerMessage::State(_)));
                 self.send(link.0, Packet::ToPlanner(message));
             }
             RunnerStep::Close(link) => self.send(link.0, Packet::EndAtPlanner),
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -99,13 +99,12 @@
 /// What a planner tells a runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlannerMessage {
-    /// The periodic heartbeat.
-    Beat {
-        /// The number of the newest heartbeat that came from the runner.
-        echo: u64,
-        /// The newest configuration, when it has changed since the last one sent on this link.
-        config: Option<ConfigCopy>,
-    },
+    /// The periodic heartbeat: the number of the newest one that came from the runner.
+    Beat(u64),
+    /// A copy of the configuration that the runner is to keep.
+    Keep(ConfigCopy),
+    /// Asks for the copy of the configuration that the runner keeps.
+    AskCopy,
     /// Runs to start.
     Start(StartRuns),
     /// Runs to stop, if they are there.
@@ -147,9 +146,13 @@
         name: Name,
         /// The failure domain that its worker stands in.
         domain: DomainName,
-        /// The newest configuration that it was told.
-        config: Option<ConfigCopy>,
+        /// The version of the configuration of which it keeps a copy; zero for none.
+        kept: u64,
     },
+    /// The version of the configuration of which it keeps a copy now.
+    Kept(u64),
+    /// The copy of the configuration that it was asked for.
+    Copy(ConfigCopy),
     /// The periodic heartbeat, numbered from one.
     Beat(u64),
     /// The state of the upstream, after each change.
