--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -78,6 +78,11 @@
         /// Runs that have ended by it.
         runs: u32,
     },
+    /// A planner was heard over a new link.
+    LinkUp {
+        /// The number of the link.
+        link: u64,
+    },
     /// A planner is not heard any more: its runs are stopped.
     LinkLost {
         /// The number of the link.
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -11,6 +11,8 @@
 pub(super) struct Link {
     /// Whether the hello was sent.
     pub(super) greeted: bool,
+    /// Whether the planner was heard over it.
+    pub(super) heard: bool,
     /// The number of the newest heartbeat sent.
     pub(super) beat: u64,
     /// The heartbeats that are not answered, with when they were sent.
@@ -27,6 +29,7 @@
     pub(super) fn new() -> Self {
         Self {
             greeted: false,
+            heard: false,
             beat: 0,
             open: VecDeque::new(),
             alive: Time::NEVER,
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -135,6 +135,11 @@
 
     /// Takes in a message of a planner.
     pub fn message(&mut self, now: Time, link: LinkNo, message: PlannerMessage) {
+        if let Some(row) = self.links.get_mut(&link).filter(|l| !l.heard) {
+            row.heard = true;
+            let event = RunnerEvent::LinkUp { link: link.0 };
+            self.steps.push(RunnerStep::Log(event));
+        }
         match message {
             PlannerMessage::Beat(echo) => {
                 if let Some(row) = self.links.get_mut(&link) {
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -76,21 +76,24 @@
 
     /// Ends the belief in a link and stops its runs.
     pub(super) fn lose(&mut self, link: LinkNo, why: &'static str) {
-        if self.links.remove(&link).is_none() {
+        let Some(lost) = self.links.remove(&link) else {
             return;
-        }
+        };
         let rows = self.runs.iter_mut().filter(|(_, r)| r.link == Some(link));
         let mut runs: Vec<RunKey> = Vec::new();
         for (run, row) in rows {
             row.link = None;
             runs.push(*run);
         }
-        let event = RunnerEvent::LinkLost {
-            link: link.0,
-            why,
-            runs: runs.len() as u32,
-        };
-        self.steps.push(RunnerStep::Log(event));
+        // One that was never heard is a planner that could not be reached as yet.
+        if lost.heard {
+            let event = RunnerEvent::LinkLost {
+                link: link.0,
+                why,
+                runs: runs.len() as u32,
+            };
+            self.steps.push(RunnerStep::Log(event));
+        }
         for run in runs {
             self.stop(run);
         }
@@ -228,8 +231,11 @@
                 .push(RunnerStep::Log(RunnerEvent::Ended { run, end, span }));
             row.doomed = true;
         }
-        let event = RunnerEvent::LeaseOver { id, runs };
-        self.steps.push(RunnerStep::Log(event));
+        // One that has never answered has no lease that could have ended.
+        if worker.heard > Time::default() {
+            let event = RunnerEvent::LeaseOver { id, runs };
+            self.steps.push(RunnerStep::Log(event));
+        }
     }
 
     /// Says hello on new links, once nothing runs for a planner that was lost.
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -1,5 +1,6 @@
 //! Jobs of tasks under leases: planners, runners and upstreams in virtual time.
 
+mod beliefs;
 mod copies;
 mod focused;
 mod order;
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -7,7 +7,7 @@
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_core::runs::runner::{Report, RunnerStep};
+use chervilring_core::runs::runner::{Report, RunnerEvent, RunnerStep};
 use chervilring_wire::{Micros, PlannerMessage, Time};
 use eyre::WrapErr;
 use slog::{Logger, info, warn};
@@ -384,7 +384,12 @@
                 }
                 RunnerStep::Log(event) => {
                     self.parts.report.count(&event);
-                    runner_log::log(&self.parts.log, &event);
+                    let link = match &event {
+                        RunnerEvent::LinkUp { link } | RunnerEvent::LinkLost { link, .. } => *link,
+                        _ => 0,
+                    };
+                    let planner = self.parts.dial.addr_of(LinkId(link));
+                    runner_log::log(&self.parts.log, &event, planner);
                 }
                 RunnerStep::Left => cx.shutdown(StopCause::Stopped),
             }
--- a/crates/chervilring_daemon/src/runs/runner_dial.rs
+++ b/crates/chervilring_daemon/src/runs/runner_dial.rs
@@ -98,6 +98,12 @@
         }
     }
 
+    /// Returns the address behind a link, while that is known.
+    pub(super) fn addr_of(&self, link: LinkId) -> Option<SocketAddr> {
+        let row = self.targets.iter().find(|(_, t)| t.link == Some(link));
+        row.map(|(&addr, _)| addr)
+    }
+
     /// Takes note that a link is closed.
     pub(super) fn closed(&mut self, now: Time, link: LinkId) {
         let row = self.targets.iter().find(|(_, t)| t.link == Some(link));
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -1,10 +1,12 @@
 //! The log lines of a runner.
 
+use std::net::SocketAddr;
+
 use chervilring_core::runs::runner::RunnerEvent;
 use slog::{Logger, debug, info, warn};
 
-/// Logs a decision.
-pub(super) fn log(log: &Logger, event: &RunnerEvent) {
+/// Logs a decision; `planner` is the address behind the link that it is about.
+pub(super) fn log(log: &Logger, event: &RunnerEvent, planner: Option<SocketAddr>) {
     match event {
         RunnerEvent::Taken { run, runs, free } => {
             info!(log, "runs taken on"; "job" => %run.job, "run" => %run, "runs" => runs,
@@ -42,8 +44,14 @@
         RunnerEvent::LeaseOver { id, runs } => {
             warn!(log, "lease of upstream over"; "upstream" => &**id, "runs_lost" => runs);
         }
+        RunnerEvent::LinkUp { link } => {
+            let planner = planner.map(|p| p.to_string());
+            info!(log, "planner reached"; "link" => link, "planner" => planner);
+        }
         RunnerEvent::LinkLost { link, why, runs } => {
-            warn!(log, "planner lost"; "link" => link, "why" => why, "runs_stopped" => runs);
+            let planner = planner.map(|p| p.to_string());
+            warn!(log, "planner lost"; "link" => link, "planner" => planner, "why" => why,
+                "runs_stopped" => runs);
         }
         RunnerEvent::Paused { span } => {
             warn!(log, "stood still"; "span_us" => span.0);
