Dispatcher draws from fastrand; answers that cannot be written say so

Status, job and problem bodies that could not be written were answered empty; they carry the reason now, and the entry logs it.

No behaviour of planners and runners changes; the core's tests pass with bounds as before.

--- a/crates/chervilring_core/src/dispatch/policy.rs
+++ b/crates/chervilring_core/src/dispatch/policy.rs
@@ -27,25 +27,24 @@
     }
 }
 
-/// A generator of pseudo-random numbers (xorshift), and the place in a round.
+/// The source of chance of a choice, and the place in a round.
 #[derive(Debug, Clone)]
 pub(crate) struct Chooser {
-    state: u64,
+    random: fastrand::Rng,
     pub(crate) turn: usize,
 }
 
 impl Chooser {
     pub(crate) fn new(seed: u64) -> Self {
-        let state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
-        Self { state, turn: 0 }
+        Self {
+            random: fastrand::Rng::with_seed(seed),
+            turn: 0,
+        }
     }
 
     /// Returns a number below `bound`, which must not be zero.
     pub(crate) fn below(&mut self, bound: usize) -> usize {
-        self.state ^= self.state << 13;
-        self.state ^= self.state >> 7;
-        self.state ^= self.state << 17;
-        ((self.state >> 11) % bound as u64) as usize
+        self.random.usize(0..bound)
     }
 }
 
--- a/crates/chervilring_daemon/src/entry/daemon.rs
+++ b/crates/chervilring_daemon/src/entry/daemon.rs
@@ -4,6 +4,7 @@
 
 use chervilring_core::entry::{Change, Entry, EntryStep};
 use chervilring_wire::{Datagram, Micros, Reply, Ticket, Time};
+use serde_json::json;
 use slog::{Logger, info, warn};
 use stakker::{CX, FixedTimerKey, at, lazy, stop};
 use stakker_mio::Ready;
@@ -135,7 +136,10 @@
 
     fn status(&mut self, ticket: Ticket) {
         let status = self.entry.status(self.clock.now());
-        let value = serde_json::to_value(status).unwrap_or_default();
+        let value = serde_json::to_value(status).unwrap_or_else(|error| {
+            warn!(self.log, "status cannot be written"; "error" => %error);
+            json!({"error": error.to_string()})
+        });
         self.api.status(ticket, value);
     }
 
--- a/crates/chervilring_daemon/src/http/api.rs
+++ b/crates/chervilring_daemon/src/http/api.rs
@@ -13,6 +13,7 @@
 
 use super::call::{Answer, Call};
 use super::health::Health;
+use super::json::write_json;
 use super::problem::Problem;
 use super::route::{self, Layout, Route};
 use super::server::{Server, ServerSettings};
@@ -163,7 +164,7 @@
         let Some(waiting) = self.inner.waiting().remove(&ticket) else {
             return;
         };
-        let write = move || Answer::json(200, serde_json::to_vec(&status).unwrap_or_default());
+        let write = move || Answer::json(200, write_json(&status));
         waiting.call.reply_later(write);
     }
 
--- a/crates/chervilring_daemon/src/http/job.rs
+++ b/crates/chervilring_daemon/src/http/job.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
+use super::json::write_json;
 use super::problem::Problem;
 use super::request::{self, DEFAULT_TEAM};
 
@@ -137,7 +138,7 @@
         total: None,
         tasks: Some(outputs.iter().map(output).collect()),
     };
-    serde_json::to_vec(&document).unwrap_or_default()
+    write_json(&document)
 }
 
 /// Writes how far a submission has come.
@@ -150,7 +151,7 @@
         total: Some(progress.total),
         tasks: None,
     };
-    serde_json::to_vec(&document).unwrap_or_default()
+    write_json(&document)
 }
 
 fn output(output: &TaskOutput) -> OutputDocument<'_> {
--- a/crates/chervilring_daemon/src/http/mod.rs
+++ b/crates/chervilring_daemon/src/http/mod.rs
@@ -18,6 +18,7 @@
 mod connections;
 mod health;
 mod job;
+mod json;
 mod kicker;
 pub(crate) mod pool;
 mod problem;
--- a/crates/chervilring_daemon/src/http/problem.rs
+++ b/crates/chervilring_daemon/src/http/problem.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::call::Answer;
+use super::json::write_json;
 
 /// The media type of problem details.
 pub(super) const MEDIA: &str = "application/problem+json";
@@ -102,7 +103,7 @@
             id: self.id.map(|id| id.to_string()),
             retry_after_ms: self.retry.map(Micros::as_millis),
         };
-        let body = serde_json::to_vec(&document).unwrap_or_default();
+        let body = write_json(&document);
         let mut answer = Answer::new(self.status, MEDIA, body)
             .header("Chervilring-Verdict", self.verdict.as_str());
         if let Some(span) = self.retry {
