Placement: a job that could be in time waits for a full queue rather than be late

Upstreams whose queue is full had been made unusable for a choice, so a job that only they can serve in time counted as late, and could be begun at once on a slow upstream with room to spare.

A full upstream now counts for whether there is hope, and is not chosen. The test failed before the change (the slow upstream was taken).

--- a/crates/chervilring_core/src/runs/planner/placement.rs
+++ b/crates/chervilring_core/src/runs/planner/placement.rs
@@ -21,6 +21,8 @@
     pub wait: Micros,
     /// Whether the upstream may be used at all.
     pub open: bool,
+    /// Whether its queue is full of what goes first.
+    pub full: bool,
     /// The share of its processor that is free.
     pub free: f64,
 }
@@ -61,7 +63,7 @@
     for (place, offer) in offers.iter().enumerate().filter(|(_, o)| o.open) {
         hope = hope || ends(offer, Micros(0), wish) <= wish.objective;
         let late = ends(offer, offer.wait, wish) > wish.objective;
-        if late || wish.now + offer.wait > wish.latest {
+        if offer.full || late || wish.now + offer.wait > wish.latest {
             continue;
         }
         let score = score(offer, wish) + tie() * SPREAD;
@@ -82,8 +84,10 @@
 fn choose_late(offers: &[Offer], wish: &Wish) -> Option<usize> {
     let end = |offer: &Offer| wish.now + offer.wait + offer.run;
     let roomy = |offer: &Offer| offer.wait == Micros(0) && offer.free >= LATE_ROOM;
-    let fits =
-        |offer: &Offer| offer.open && end(offer) < wish.deadline && (wish.started || roomy(offer));
+    let fits = |offer: &Offer| {
+        let usable = offer.open && !offer.full && end(offer) < wish.deadline;
+        usable && (wish.started || roomy(offer))
+    };
     let rows = offers.iter().enumerate().filter(|(_, o)| fits(o));
     rows.min_by_key(|(_, o)| end(o)).map(|(place, _)| place)
 }
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -45,11 +45,12 @@
         let all = self.state.capacity.cpu.max(1) as f64;
         // A runner keeps no longer a queue than its upstream holds at once.
         let queue = asked.minus(&self.state.free);
-        let taken = self.room > 0 && self.state.capacity.holds(&queue);
+        let full = !self.state.capacity.holds(&queue);
         Offer {
             run: self.run,
             wait: wait(self.state, &asked),
-            open: taken && avoid != Some(self.name),
+            open: self.room > 0 && avoid != Some(self.name),
+            full,
             free: (self.state.free.cpu as f64 - self.asked.cpu as f64) / all,
         }
     }
--- a/crates/chervilring_core/tests/runs/placing.rs
+++ b/crates/chervilring_core/tests/runs/placing.rs
@@ -10,6 +10,7 @@
         run: MS(run),
         wait: MS(wait),
         open: true,
+        full: false,
         free,
     }
 }
@@ -112,3 +113,14 @@
     };
     assert_eq!(pick(&[offer(60, 0, 0.5)], &gone), Choice::Wait);
 }
+
+#[test]
+fn a_job_that_could_be_in_time_waits_for_a_full_queue() {
+    let fast = Offer {
+        full: true,
+        ..offer(60, 0, 0.0)
+    };
+    let slow = offer(200, 0, 0.9);
+    assert_eq!(pick(&[fast, slow], &wish(156)), Choice::Wait);
+    assert_eq!(pick(&[slow], &wish(156)), Choice::Take(0));
+}
