--- /dev/null
+++ b/crates/chervilring_core/tests/runs/world/links.rs
@@ -0,0 +1,163 @@
+//! Links of the model: what is sent, delayed, cut and ended.
+
+use std::collections::BTreeSet;
+
+use chervilring_core::runs::planner::LinkNo;
+use chervilring_wire::{PlannerMessage, RunnerMessage, Time};
+
+use super::{HOP, Happening, Way, Without, World};
+
+/// A message on a link.
+#[derive(Debug, Clone)]
+pub(super) enum Packet {
+    ToPlanner(RunnerMessage),
+    ToRunner(PlannerMessage),
+    /// The runner has closed the link.
+    EndAtPlanner,
+    /// The planner has closed the link.
+    EndAtRunner,
+}
+
+impl Packet {
+    pub(super) fn is_to_planner(&self) -> bool {
+        matches!(self, Self::ToPlanner(_) | Self::EndAtPlanner)
+    }
+}
+
+pub(super) struct Link {
+    pub(super) planner: usize,
+    pub(super) runner: usize,
+    /// What was sent, in order.
+    pub(super) packets: Vec<Packet>,
+    /// The packets that have not come yet, by their place.
+    pub(super) waiting: BTreeSet<usize>,
+    pub(super) open: bool,
+}
+
+impl World {
+    /// Has the other side hear of the end of links, unless they are cut.
+    pub(super) fn end_links(&mut self, which: impl Fn(&Link) -> bool, end: &Packet) {
+        let rows = self.links.iter().filter(|(_, l)| l.open && which(l));
+        let ids: Vec<u64> = rows.map(|(&id, _)| id).collect();
+        for id in ids {
+            self.send(id, end.clone());
+        }
+    }
+
+    pub(super) fn dial(&mut self, r: usize) {
+        if self.runners[r].core.is_none() || self.now < self.runners[r].frozen {
+            return;
+        }
+        for p in 0..self.planners.len() {
+            let linked = |l: &Link| l.open && l.planner == p && l.runner == r;
+            if self.links.values().any(linked) || self.planners[p].core.is_none() {
+                continue;
+            }
+            if self.is_cut(p, r, Way::ToPlanner) || self.is_cut(p, r, Way::ToRunner) {
+                continue;
+            }
+            self.last_link += 1;
+            let id = self.last_link;
+            let link = Link {
+                planner: p,
+                runner: r,
+                packets: Vec::new(),
+                waiting: BTreeSet::new(),
+                open: true,
+            };
+            self.links.insert(id, link);
+            self.wake_runner(r, |core, now| core.link_up(now, LinkNo(id)));
+        }
+    }
+
+    pub(super) fn is_cut(&self, p: usize, r: usize, way: Way) -> bool {
+        let holds = |&(cp, cr, cw, until): &(usize, usize, Way, Time)| {
+            cp == p && cr == r && self.now < until && (cw == Way::Both || cw == way)
+        };
+        self.cuts.iter().any(holds)
+    }
+
+    pub(super) fn send(&mut self, link: u64, packet: Packet) {
+        let Some(row) = self.links.get_mut(&link) else {
+            return;
+        };
+        row.packets.push(packet);
+        let place = row.packets.len() - 1;
+        row.waiting.insert(place);
+        self.at(HOP, Happening::Deliver(link, place));
+    }
+
+    pub(super) fn deliver(&mut self, link: u64, place: usize) {
+        let Some(row) = self.links.get(&link) else {
+            return;
+        };
+        let (p, r) = (row.planner, row.runner);
+        let packet = row.packets[place].clone();
+        let to_planner = packet.is_to_planner();
+        let way = if to_planner {
+            Way::ToPlanner
+        } else {
+            Way::ToRunner
+        };
+        let frozen = if to_planner {
+            self.planners[p].frozen
+        } else {
+            self.runners[r].frozen
+        };
+        // Bytes on a cut way come later, as long as both ends keep the connection.
+        let earlier = row.waiting.range(..place);
+        let overtakes = earlier
+            .clone()
+            .any(|&e| row.packets[e].is_to_planner() == to_planner);
+        if self.is_cut(p, r, way) || self.now < frozen {
+            self.at(10_000, Happening::Deliver(link, place));
+            return;
+        }
+        if overtakes {
+            self.at(100, Happening::Deliver(link, place));
+            return;
+        }
+        if let Some(row) = self.links.get_mut(&link) {
+            row.waiting.remove(&place);
+        }
+        let Some(row) = self.links.get(&link) else {
+            return;
+        };
+        let id = LinkNo(link);
+        match packet {
+            Packet::ToPlanner(message) if row.open => {
+                self.wake_planner(p, |core, now| core.message(now, id, message));
+            }
+            Packet::ToRunner(message) if row.open => {
+                self.wake_runner(r, |core, now| core.message(now, id, message));
+            }
+            Packet::EndAtPlanner => {
+                self.shut(link);
+                self.wake_planner(p, |core, now| core.link_down(now, id));
+            }
+            Packet::EndAtRunner => {
+                self.shut(link);
+                if self.without != Without::LinkLoss {
+                    self.wake_runner(r, |core, now| core.link_down(now, id));
+                }
+            }
+            Packet::ToPlanner(_) | Packet::ToRunner(_) => {}
+        }
+    }
+
+    /// Has a runner take all its heartbeats as answered, on links that have ended as well.
+    pub(super) fn answer_all(&mut self, r: usize) {
+        let rows = self.links.iter().filter(|(_, l)| l.runner == r);
+        let ids: Vec<u64> = rows.map(|(&id, _)| id).collect();
+        for id in ids {
+            let message = PlannerMessage::Beat(u64::MAX);
+            self.wake_runner(r, |core, now| core.message(now, LinkNo(id), message));
+        }
+    }
+
+    pub(super) fn shut(&mut self, link: u64) {
+        if let Some(row) = self.links.get_mut(&link) {
+            row.open = false;
+        }
+    }
+}
--- /dev/null
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -0,0 +1,138 @@
+//! What planners and runners have carried out, and what upstreams begin.
+
+use std::collections::BTreeSet;
+
+use chervilring_core::runs::planner::PlannerStep;
+use chervilring_core::runs::runner::{CallOutcome, RunnerStep, WorkerCall};
+use chervilring_wire::{RefuseReason, RunKey, RunnerMessage, Time};
+
+use super::links::Packet;
+use super::{CALL_TIME, HOLD, Happening, NEAR, REPORT, Without, World};
+use crate::upstream::{TaskName, name_of};
+
+impl World {
+    pub(super) fn planner_step(&mut self, p: usize, step: PlannerStep) {
+        match step {
+            PlannerStep::Send { link, message } => self.send(link.0, Packet::ToRunner(message)),
+            PlannerStep::Close(link) => {
+                self.send(link.0, Packet::EndAtRunner);
+            }
+            PlannerStep::Answer { caller, answer, .. } => {
+                let Some(job) = self.callers.remove(&(p, caller)) else {
+                    return;
+                };
+                self.answered(job, answer);
+            }
+            PlannerStep::Config(_) => {}
+            PlannerStep::Log(event) => self.note(&format!("planner {p}: {event:?}")),
+        }
+    }
+
+    pub(super) fn runner_step(&mut self, r: usize, step: RunnerStep) {
+        match step {
+            RunnerStep::Send { link, message } => {
+                let refused = matches!(&message, RunnerMessage::Refused { reason, .. }
+                    if *reason == RefuseReason::Room);
+                self.refusals += u32::from(refused);
+                self.states += u32::from(matches!(&message, RunnerMessage::State(_)));
+                self.send(link.0, Packet::ToPlanner(message));
+            }
+            RunnerStep::Close(link) => self.send(link.0, Packet::EndAtPlanner),
+            RunnerStep::Call(call) => self.call(r, call),
+            RunnerStep::Log(event) => self.note(&format!("runner {r}: {event:?}")),
+            RunnerStep::Left | RunnerStep::Keep(_) => {}
+        }
+    }
+
+    pub(super) fn call(&mut self, r: usize, call: WorkerCall) {
+        let now = Time(self.now.0 - self.runners[r].skew);
+        let life = self.runners[r].life;
+        let lost = CallOutcome::Lost;
+        if !self.upstreams[r].up {
+            self.at(CALL_TIME, Happening::Called(r, life, now, call, lost));
+            return;
+        }
+        let order = !matches!(call, WorkerCall::Hold { .. });
+        if order && self.rng.f64() < self.late {
+            let span = self.rng.u64(1_000_000..6_000_000);
+            self.at(span, Happening::Carry(r, call.clone()));
+            self.at(CALL_TIME, Happening::Called(r, life, now, call, lost));
+            return;
+        }
+        if let WorkerCall::Hold { lease, .. } = &call {
+            // The lease counts from the arrival, the lists from the answer.
+            if lease.is_some() {
+                self.carry(r, &call);
+            }
+            self.at(HOLD, Happening::HoldEnds(r, life, now, call));
+            return;
+        }
+        let outcome = self.carry(r, &call);
+        self.at(2 * NEAR, Happening::Called(r, life, now, call, outcome));
+    }
+
+    pub(super) fn carry(&mut self, r: usize, call: &WorkerCall) -> CallOutcome {
+        if !self.upstreams[r].up {
+            return CallOutcome::Lost;
+        }
+        let now = self.now;
+        let hang = self.hangs.contains(&r);
+        let bad = self.fails.contains(&r);
+        let before: BTreeSet<RunKey> = self.upstreams[r].going.keys().copied().collect();
+        let jobs = &self.jobs;
+        let work = |run: &RunKey| {
+            let job = jobs.iter().find(|j| j.id == run.job.0);
+            let (span, fails) = job.map_or((50_000, false), |j| (j.work, j.fails));
+            (span, fails || bad, hang)
+        };
+        let outcome = self.upstreams[r].carry(now, call, work);
+        let new = self.upstreams[r].going.keys().find(|k| !before.contains(k));
+        if let Some(run) = new.copied() {
+            self.started(r, run);
+        }
+        outcome
+    }
+
+    /// Checks a start.
+    pub(super) fn started(&mut self, r: usize, run: RunKey) {
+        self.starts += 1;
+        let now = self.now;
+        let name: TaskName = name_of(&run);
+        *self.started.entry(run.job.0).or_default() += 1;
+        for (place, up) in self.upstreams.iter().enumerate() {
+            let twins = up
+                .going
+                .keys()
+                .filter(|k| name_of(k) == name && !(place == r && **k == run));
+            if up.up && twins.count() > 0 {
+                self.violations
+                    .push(format!("{now:?}: {run} runs on {place} and {r}"));
+            }
+        }
+        let up = &self.upstreams[r];
+        if !up.capacity.holds(&up.taken()) {
+            self.violations
+                .push(format!("{now:?}: {run} brings {r} over its capacity"));
+        }
+        if up.draining && self.without == Without::Nothing {
+            // A start that was under way when the upstream began to leave is allowed.
+            let since = now.0 % REPORT;
+            if since > 2_000_000 {
+                self.violations
+                    .push(format!("{now:?}: {run} started while {r} leaves"));
+            }
+        }
+    }
+
+    /// Tells runners that their upstreams have more room than they have.
+    pub(crate) fn overstate(&mut self) {
+        for r in 0..self.upstreams.len() {
+            let mut report = self.upstreams[r].report(self.now);
+            report.capacity.cpu *= 3;
+            report.sequence = 1_000_000;
+            self.wake_runner(r, move |core, now| {
+                core.reported(now, report);
+            });
+        }
+    }
+}
