Planner: the callers' wait before they send again is read from the settings; idle routes are forgotten

Cause: read in the diff. The wait was a constant although the settings file names it, and what is known of a route's callers was kept for good, also of routes that configurations drop.

Ruled out: a change on the two sites, whose files name the same 1.3 s.

--- a/crates/chervilring_core/src/runs/planner/resend.rs
+++ b/crates/chervilring_core/src/runs/planner/resend.rs
@@ -4,7 +4,7 @@
 //! callers of that time send their jobs again, on top of the usual load. They have missed their
 //! objectives; taken for new ones they would make the new ones miss theirs.
 
-use chervilring_wire::{Micros, Name};
+use chervilring_wire::{Micros, Name, Time};
 use rustc_hash::FxHashMap;
 
 /// The number of jobs over which a route's share of callers with little patience is taken.
@@ -13,11 +13,16 @@
 /// Above this share a route's callers have little patience from the start.
 const USUAL: f64 = 0.5;
 
+/// How long a route is remembered on which nothing comes in.
+const ROUTE_AGE: Micros = Micros::from_secs(600);
+
 /// A sending of a job, as it comes in.
 #[derive(Debug, Clone, Copy)]
 pub struct Sending<'a> {
     /// The route.
     pub route: &'a Name,
+    /// When it comes in.
+    pub at: Time,
     /// How long the caller goes on waiting.
     pub patience: Micros,
     /// How long the route lets callers wait.
@@ -27,8 +32,15 @@
 /// What is known of the patience of callers.
 #[derive(Debug, Clone, Default)]
 pub struct Resends {
-    /// By route, the share of callers who waited less than the route lets them.
-    short: FxHashMap<Name, f64>,
+    routes: FxHashMap<Name, Route>,
+}
+
+/// The callers of a route.
+#[derive(Debug, Clone, Default)]
+struct Route {
+    /// The share of those who waited less than the route lets them.
+    short: f64,
+    seen: Time,
 }
 
 impl Resends {
@@ -38,12 +50,18 @@
     /// the rest, and came back after `resend` at the soonest.
     pub fn waited(&mut self, sending: &Sending, resend: Micros) -> Option<Micros> {
         let is_short = sending.patience < sending.timeout;
-        let share = self.short.entry(sending.route.clone()).or_default();
-        *share += (f64::from(u8::from(is_short)) - *share) / WINDOW;
-        if !is_short || *share > USUAL {
+        let route = self.routes.entry(sending.route.clone()).or_default();
+        route.short += (f64::from(u8::from(is_short)) - route.short) / WINDOW;
+        route.seen = sending.at;
+        if !is_short || route.short > USUAL {
             return None;
         }
         let spent = Micros(sending.timeout.0 - sending.patience.0);
         Some(resend.max(spent))
     }
+
+    /// Forgets routes on which nothing has come in for long.
+    pub(super) fn forget(&mut self, now: Time) {
+        self.routes.retain(|_, r| now.since(r.seen) < ROUTE_AGE);
+    }
 }
--- a/crates/chervilring_core/src/runs/planner/settings.rs
+++ b/crates/chervilring_core/src/runs/planner/settings.rs
@@ -21,7 +21,7 @@
 /// Bursts last for seconds: a caller who comes back sooner meets the same one.
 const COMEBACK: Micros = Micros::from_secs(1);
 
-/// What callers of the users' platform do, where the settings say nothing else.
+/// What the users' first deployments say of their callers.
 const RESEND: Micros = Micros::from_millis(1_300);
 
 impl Default for PlannerSettings {
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -130,6 +130,7 @@
         let span = slack + new.route.target;
         let sending = Sending {
             route: &new.route.name,
+            at: now,
             patience: now.until(new.deadline),
             timeout: new.route.timeout,
         };
@@ -255,6 +256,11 @@
         self.config = Some(config);
     }
 
+    /// Sets how long callers wait before they send a job again.
+    pub fn set_resend(&mut self, resend: Micros) {
+        self.settings.resend = resend;
+    }
+
     /// Returns the steps to carry out, in order.
     pub fn drain(&mut self) -> Vec<PlannerStep> {
         std::mem::take(&mut self.steps)
--- a/crates/chervilring_core/tests/runs/units.rs
+++ b/crates/chervilring_core/tests/runs/units.rs
@@ -170,6 +170,7 @@
 fn waited(resends: &mut Resends, patience: u64) -> Option<Micros> {
     let sending = Sending {
         route: &"r".into(),
+        at: at(1_000),
         patience: MS(patience),
         timeout: MS(1_500),
     };
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -121,9 +121,11 @@
         .wrap_err_with(|| format!("cannot listen on {}", config.runners))?;
     let runners = listener.local_addr()?;
     let links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
+    let usual = PlannerSettings::default();
     let settings = PlannerSettings {
         seed: clock.since_boot().0 ^ u64::from(runners.port()),
-        ..PlannerSettings::default()
+        resend: config.resend.unwrap_or(usual.resend),
+        ..usual
     };
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "callers" => %config.callers,
         "runners" => %runners, "domain" => %config.domain);
@@ -357,6 +359,9 @@
             (old.callers, old.ready, old.runners) != (config.callers, config.ready, config.runners);
         info!(self.parts.log, "settings reloaded"; "grace_us" => config.grace.0,
             "needs_restart" => moved);
+        if let Some(resend) = config.resend {
+            self.parts.planner.set_resend(resend);
+        }
         self.parts.config = config;
     }
 
--- a/crates/chervilring_daemon/src/runs/settings.rs
+++ b/crates/chervilring_daemon/src/runs/settings.rs
@@ -21,6 +21,8 @@
     pub metrics: SocketAddr,
     /// How long a planned stop may take.
     pub grace: Micros,
+    /// How long callers wait before they send a job again, if that is set.
+    pub resend: Option<Micros>,
 }
 
 /// The settings of a runner.
