Daemon: planners and runners share ports, spans and the serving of links

Read again: both daemons had a closure that binds a port, three equal constants, and the same lines that write to and read from a link that is ready; the runner's loop looked for the link of an event which its log knows.

Links::serve does what both did (flush, then read all), runs::ports binds and serves metrics, runs::times holds the constants; the log asks for an address only where it prints one. The agent and the entry keep their own loops, as the first message of their links is of another type.

--- a/crates/chervilring_daemon/src/net/links.rs
+++ b/crates/chervilring_daemon/src/net/links.rs
@@ -153,7 +153,7 @@
     /// # Errors
     ///
     /// Returns an error when the peer sent what is no frame; the link is then to be closed.
-    pub fn read_all<T: DeserializeOwned>(
+    fn read_all<T: DeserializeOwned>(
         &mut self,
         id: LinkId,
         mut take: impl FnMut(T),
@@ -169,6 +169,25 @@
         }
     }
 
+    /// Writes to and reads from a link that is ready, and hands on each whole message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer sent what is no frame; the link is then to be closed.
+    pub fn serve<T: DeserializeOwned>(
+        &mut self,
+        event: LinkEvent,
+        take: impl FnMut(T),
+    ) -> Result<LinkState, CodecError> {
+        if event.writable && self.flush_link(event.id) == LinkState::Closed {
+            return Ok(LinkState::Closed);
+        }
+        if event.readable {
+            return self.read_all(event.id, take);
+        }
+        Ok(LinkState::Open)
+    }
+
     /// Closes a link.
     pub fn close(&mut self, id: LinkId) {
         self.table.remove(&id);
--- a/crates/chervilring_daemon/src/runs/mod.rs
+++ b/crates/chervilring_daemon/src/runs/mod.rs
@@ -9,12 +9,14 @@
 mod planner;
 mod planner_log;
 mod planner_report;
+mod ports;
 mod registry;
 mod runner;
 mod runner_dial;
 mod runner_log;
 mod runner_report;
 mod settings;
+mod times;
 mod told;
 
 pub use dialect::{CallerCall, CallerDialect, WorkerDialect, WorkerNotice};
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -1,7 +1,6 @@
 //! The planner daemon: carries the decisions of a planner to sockets.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use chervilring_core::runs::planner::{Caller, LinkNo, PlannerSettings, PlannerStep};
 use chervilring_core::runs::{Planner, RouteTable};
@@ -15,8 +14,10 @@
 use super::pause::PauseWatch;
 use super::planner_log;
 use super::planner_report::PlannerReport;
+use super::ports;
 use super::registry::{self, Registry, StoreEvent};
 use super::settings::{PlannerConfig, Reload};
+use super::times::{EXIT_TIME, SWEEP, TICK};
 use super::told::{self, Told};
 use crate::log;
 use crate::net::{
@@ -25,9 +26,6 @@
 };
 use crate::signals::Asked;
 
-/// The longest span between two looks at the clock.
-const TICK: Duration = Duration::from_millis(50);
-
 /// The largest body before the configuration says otherwise, in bytes.
 const FIRST_BODY: usize = 256 << 10;
 
@@ -38,12 +36,6 @@
 /// second and takes two misses to notice.
 const LINGER: Micros = Micros::from_millis(3_200);
 
-/// What of the grace period is left for answers to leave and the process to end.
-const EXIT_TIME: Micros = Micros::from_millis(900);
-
-/// Time between looks at stale connections.
-const SWEEP: Micros = Micros::from_secs(1);
-
 /// What the actor works with.
 struct Parts {
     planner: Planner,
@@ -98,21 +90,20 @@
         fwd_to!([actor], events() as (Vec<Told<PlannerConfig>>)),
     );
     let clock = Clock::start();
-    let bind = |addr: SocketAddr, body, ready| {
-        HttpPort::bind(&poll, addr, body, ready)
-            .wrap_err_with(|| format!("cannot listen on {addr}"))
-    };
-    let callers = bind(
+    let callers = ports::listen(
+        &poll,
         config.callers,
         FIRST_BODY,
         fwd_to!([actor], callers() as (HttpReady)),
     )?;
-    let ready = bind(
+    let ready = ports::listen(
+        &poll,
         config.ready,
         SMALL_BODY,
         fwd_to!([actor], ready() as (HttpReady)),
     )?;
-    let metrics = bind(
+    let metrics = ports::listen(
+        &poll,
         config.metrics,
         SMALL_BODY,
         fwd_to!([actor], metrics() as (HttpReady)),
@@ -280,7 +271,7 @@
             .record(self.parts.planner.runners() as u64, &[]);
         let version = self.routes.as_ref().map_or(0, |r| r.version);
         report.version.record(version, &[]);
-        told::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
+        ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry_soon(cx);
     }
 
@@ -297,21 +288,6 @@
     /// Reads from and writes to a link.
     fn link_ready(&mut self, cx: CX![], event: LinkEvent) {
         self.check_pause();
-        let mut state = LinkState::Open;
-        if event.writable {
-            state = self.parts.links.flush_link(event.id);
-        }
-        if event.readable && state != LinkState::Closed {
-            state = self.read(event.id);
-        }
-        if state == LinkState::Closed {
-            self.close(event.id);
-        }
-        self.carry_soon(cx);
-    }
-
-    /// Reads all that has come in over a link.
-    fn read(&mut self, link: LinkId) -> LinkState {
         let Parts {
             links,
             planner,
@@ -319,11 +295,16 @@
             log,
             ..
         } = &mut self.parts;
-        let take = |message: RunnerMessage| planner.message(clock.time(), LinkNo(link.0), message);
-        links.read_all(link, take).unwrap_or_else(|error| {
+        let link = LinkNo(event.id.0);
+        let take = |message: RunnerMessage| planner.message(clock.time(), link, message);
+        let state = links.serve(event, take).unwrap_or_else(|error| {
             warn!(log, "link dropped"; "error" => %error);
             LinkState::Closed
-        })
+        });
+        if state == LinkState::Closed {
+            self.close(event.id);
+        }
+        self.carry_soon(cx);
     }
 
     fn close(&mut self, link: LinkId) {
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/ports.rs
@@ -0,0 +1,42 @@
+//! The HTTP ports of planners and runners.
+
+use std::net::SocketAddr;
+
+use chervilring_wire::Time;
+use eyre::WrapErr;
+use stakker::Fwd;
+use stakker_mio::MioPoll;
+
+use crate::metrics::Metrics;
+use crate::net::{HttpAnswer, HttpEvent, HttpPort, HttpReady};
+
+/// Listens on an address for requests with a body of up to `body` bytes.
+///
+/// # Errors
+///
+/// Returns an error that names the address, as when the port is taken.
+pub(super) fn listen(
+    poll: &MioPoll,
+    addr: SocketAddr,
+    body: usize,
+    ready: Fwd<HttpReady>,
+) -> eyre::Result<HttpPort> {
+    let port = HttpPort::bind(poll, addr, body, ready);
+    port.wrap_err_with(|| format!("cannot listen on {addr}"))
+}
+
+/// Serves the metrics on a port of their own.
+pub(super) fn serve_metrics(port: &mut HttpPort, now: Time, ready: HttpReady, metrics: &Metrics) {
+    for event in port.handle(now, ready) {
+        let HttpEvent::Request(conn, _) = event else {
+            continue;
+        };
+        let answer = HttpAnswer {
+            status: 200,
+            media: "text/plain; version=0.0.4",
+            comeback: None,
+            body: metrics.text().into_bytes(),
+        };
+        port.answer(now, conn, &answer);
+    }
+}
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -3,24 +3,24 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::{self, Sender};
 use std::thread;
-use std::time::Duration;
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_core::runs::runner::{Report, RunnerEvent, RunnerStep};
-use chervilring_wire::{Micros, PlannerMessage, Time};
-use eyre::WrapErr;
+use chervilring_core::runs::runner::{Report, RunnerStep};
+use chervilring_wire::{PlannerMessage, Time};
 use slog::{Logger, info, warn};
 use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
 
 use super::calls::{Called, Calls};
 use super::dialect::{WorkerDialect, WorkerNotice};
 use super::pause::PauseWatch;
+use super::ports;
 use super::registry::{self, Registry, StoreEvent};
 use super::runner_dial::{Dial, Due};
 use super::runner_log;
 use super::runner_report::RunnerReport;
 use super::settings::{Reload, RunnerConfig};
+use super::times::{EXIT_TIME, SWEEP, TICK};
 use super::told::{self, Told};
 use crate::log;
 use crate::net::{
@@ -28,18 +28,9 @@
 };
 use crate::signals::Asked;
 
-/// The longest span between two looks at the clock.
-const TICK: Duration = Duration::from_millis(50);
-
 /// The largest report of an upstream, in bytes.
 const MAX_REPORT: usize = 64 << 10;
 
-/// What of the grace period is left for the process to end.
-const EXIT_TIME: Micros = Micros::from_millis(900);
-
-/// Time between looks at stale connections.
-const SWEEP: Micros = Micros::from_secs(1);
-
 /// What the actor works with.
 struct Parts {
     runner: Runner,
@@ -93,16 +84,14 @@
     );
     let ends = Inbox::new(stakker, fwd_to!([actor], called() as (Vec<Called>)));
     let clock = Clock::start();
-    let bind = |addr: SocketAddr, body, ready| {
-        HttpPort::bind(&poll, addr, body, ready)
-            .wrap_err_with(|| format!("cannot listen on {addr}"))
-    };
-    let reports = bind(
+    let reports = ports::listen(
+        &poll,
         config.reports,
         MAX_REPORT,
         fwd_to!([actor], reports() as (HttpReady)),
     )?;
-    let metrics = bind(
+    let metrics = ports::listen(
+        &poll,
         config.metrics,
         MAX_REPORT,
         fwd_to!([actor], metrics() as (HttpReady)),
@@ -286,28 +275,13 @@
         report.runs.record(self.parts.runner.runs() as u64, &[]);
         let planners = self.parts.runner.planners() as u64;
         report.planners.record(planners, &[]);
-        told::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
+        ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry_soon(cx);
     }
 
     /// Reads from and writes to a link.
     fn link_ready(&mut self, cx: CX![], event: LinkEvent) {
         self.check_pause();
-        let mut state = LinkState::Open;
-        if event.writable {
-            state = self.parts.links.flush_link(event.id);
-        }
-        if event.readable && state != LinkState::Closed {
-            state = self.read(event.id);
-        }
-        if state == LinkState::Closed {
-            self.close(event.id);
-        }
-        self.carry_soon(cx);
-    }
-
-    /// Reads all that has come in over a link.
-    fn read(&mut self, link: LinkId) -> LinkState {
         let Parts {
             links,
             dial,
@@ -317,13 +291,17 @@
             ..
         } = &mut self.parts;
         let take = |message: PlannerMessage| {
-            dial.heard(link);
-            runner.message(clock.time(), LinkNo(link.0), message);
+            dial.heard(event.id);
+            runner.message(clock.time(), LinkNo(event.id.0), message);
         };
-        links.read_all(link, take).unwrap_or_else(|error| {
+        let state = links.serve(event, take).unwrap_or_else(|error| {
             warn!(log, "link dropped"; "error" => %error);
             LinkState::Closed
-        })
+        });
+        if state == LinkState::Closed {
+            self.close(event.id);
+        }
+        self.carry_soon(cx);
     }
 
     fn close(&mut self, link: LinkId) {
@@ -384,11 +362,7 @@
                 }
                 RunnerStep::Log(event) => {
                     self.parts.report.count(&event);
-                    let link = match &event {
-                        RunnerEvent::LinkUp { link } | RunnerEvent::LinkLost { link, .. } => *link,
-                        _ => 0,
-                    };
-                    let planner = self.parts.dial.addr_of(LinkId(link));
+                    let planner = |link| self.parts.dial.addr_of(LinkId(link));
                     runner_log::log(&self.parts.log, &event, planner);
                 }
                 RunnerStep::Left => cx.shutdown(StopCause::Stopped),
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -5,8 +5,9 @@
 use chervilring_core::runs::runner::RunnerEvent;
 use slog::{Logger, debug, info, warn};
 
-/// Logs a decision; `planner` is the address behind the link that it is about.
-pub(super) fn log(log: &Logger, event: &RunnerEvent, planner: Option<SocketAddr>) {
+/// Logs a decision; `planner` returns the address behind a link, while that is known.
+pub(super) fn log(log: &Logger, event: &RunnerEvent, planner: impl Fn(u64) -> Option<SocketAddr>) {
+    let planner = |link: u64| planner(link).map(|addr| addr.to_string());
     match event {
         RunnerEvent::Taken { run, runs, free } => {
             info!(log, "runs taken on"; "job" => %run.job, "run" => %run, "runs" => runs,
@@ -45,12 +46,10 @@
             warn!(log, "lease of upstream over"; "upstream" => &**id, "runs_lost" => runs);
         }
         RunnerEvent::LinkUp { link } => {
-            let planner = planner.map(|p| p.to_string());
-            info!(log, "planner reached"; "link" => link, "planner" => planner);
+            info!(log, "planner reached"; "link" => link, "planner" => planner(*link));
         }
         RunnerEvent::LinkLost { link, why, runs } => {
-            let planner = planner.map(|p| p.to_string());
-            warn!(log, "planner lost"; "link" => link, "planner" => planner, "why" => why,
+            warn!(log, "planner lost"; "link" => link, "planner" => planner(*link), "why" => why,
                 "runs_stopped" => runs);
         }
         RunnerEvent::Paused { span } => {
--- a/crates/chervilring_daemon/src/runs/told.rs
+++ b/crates/chervilring_daemon/src/runs/told.rs
@@ -3,13 +3,11 @@
 use std::thread;
 use std::time::Duration;
 
-use chervilring_wire::Time;
 use slog::{Logger, info, warn};
 
 use super::registry::StoreEvent;
 use super::settings::Reload;
-use crate::metrics::Metrics;
-use crate::net::{HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox};
+use crate::net::Inbox;
 use crate::signals::{self, Asked};
 
 /// Time between looks at the settings.
@@ -63,19 +61,3 @@
 pub(super) fn log_bad_settings(log: &Logger, error: &eyre::Report) {
     warn!(log, "settings not usable, the last ones stay"; "error" => format!("{error:#}"));
 }
-
-/// Serves the metrics on a port of their own.
-pub(super) fn serve_metrics(port: &mut HttpPort, now: Time, ready: HttpReady, metrics: &Metrics) {
-    for event in port.handle(now, ready) {
-        let HttpEvent::Request(conn, _) = event else {
-            continue;
-        };
-        let answer = HttpAnswer {
-            status: 200,
-            media: "text/plain; version=0.0.4",
-            comeback: None,
-            body: metrics.text().into_bytes(),
-        };
-        port.answer(now, conn, &answer);
-    }
-}
