--- a/crates/chervilring/src/commands/declare_dead.rs
+++ b/crates/chervilring/src/commands/declare_dead.rs
@@ -66,6 +66,7 @@
     let path = format!("/v1/members/{name}/dead");
     let response = client.send_to(entry, "POST", &path, &[], None);
     let response = response.map_err(Failed::from)?.check()?;
+    // An answer that cannot be read tells of no declaration; the operator sees that none was made.
     let answer: Value = serde_json::from_slice(&response.body).unwrap_or_default();
     Ok(answer["declared"].as_bool().unwrap_or_default())
 }
--- a/crates/chervilring/src/commands/job.rs
+++ b/crates/chervilring/src/commands/job.rs
@@ -222,6 +222,7 @@
 
 /// Prints one line on the job and one for each output.
 fn print_text(body: &[u8]) {
+    // A body that cannot be read has none of the fields; the line then shows none.
     let document: Value = serde_json::from_slice(body).unwrap_or_default();
     let field = |name: &str| match &document[name] {
         Value::String(text) => text.clone(),
--- a/crates/chervilring/src/commands/status.rs
+++ b/crates/chervilring/src/commands/status.rs
@@ -58,6 +58,7 @@
     };
     match checked {
         Ok(response) => {
+            // A status that cannot be read is shown as null.
             let status: Value = serde_json::from_slice(&response.body).unwrap_or_default();
             json!({ "entry": entry, "status": status })
         }
--- a/crates/chervilring/src/output.rs
+++ b/crates/chervilring/src/output.rs
@@ -34,6 +34,7 @@
 
 /// Prints a document as one line of JSON.
 pub(crate) fn print_json(document: &impl Serialize) {
+    // Documents have text, numbers and lists, which are always written.
     let mut text = serde_json::to_string(document).unwrap_or_default();
     text.push('\n');
     print(&text);
--- a/crates/chervilring_daemon/src/http/request.rs
+++ b/crates/chervilring_daemon/src/http/request.rs
@@ -57,6 +57,7 @@
         submission.bodies.len(),
     );
     let mut hasher = Xxh3::new();
+    // Flags, numbers and text are always written.
     hasher.update(&postcard::to_allocvec(&head).unwrap_or_default());
     for body in &submission.bodies {
         hasher.update(&(body.len() as u64).to_be_bytes());
--- a/crates/chervilring_store/src/etcd/http.rs
+++ b/crates/chervilring_store/src/etcd/http.rs
@@ -20,6 +20,7 @@
     if status.is_success() {
         return Ok(response);
     }
+    // The status tells that the call failed; a body that cannot be read only adds no message.
     let text = response.into_body().read_to_string().unwrap_or_default();
     let error: ErrorResponse = serde_json::from_str(&text).unwrap_or_default();
     let message = error.message;
--- a/crates/chervilring_store/src/submit.rs
+++ b/crates/chervilring_store/src/submit.rs
@@ -228,6 +228,7 @@
 
 /// Names the notes that were accepted since the note's base.
 fn conflict(store: &ConfigStore, note: &Note, config: &Config) -> SubmitError {
+    // The conflict is told all the same when the notes between cannot be shown.
     let page = store
         .audit_range(note.base, SHOWN_NOTES)
         .unwrap_or_default();
