Planner: a call back takes only what waits at the runner

Cause: at the end of a job's hold the planner stopped all its runs. The upstream may have begun a run whose start it has not answered yet; such runs were stopped as soon as the answer came, their tasks started again, and the job was done late. Ruled out: two runs of a task at a time; the stopped run had ended before its task was started again. Conclusion: withdrawing and stopping are two messages now; the first leaves alone what was asked of the upstream.

--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -1,5 +1,7 @@
 //! Ending jobs: done, refused, given up.
 
+use std::collections::BTreeMap;
+
 use chervilring_wire::{Micros, PlannerMessage, RunKey, Time};
 
 use super::ends::best_speed;
@@ -57,11 +59,10 @@
             return;
         }
         job.withdrawn = true;
-        let mut stops: Vec<(LinkNo, Vec<RunKey>)> = Vec::new();
-        for (run, link) in job.live() {
-            add_stop(&mut stops, link, run);
+        for (link, runs) in by_link(job) {
+            let message = PlannerMessage::Withdraw(runs);
+            self.steps.push(PlannerStep::Send { link, message });
         }
-        self.send_stops(stops);
     }
 
     /// Returns whether a task that is yet to be started cannot end before the caller leaves.
@@ -132,26 +133,21 @@
             let until = now + PAST_AGE;
             self.past.insert(job.new.id, (attempt, until));
         }
-        let mut stops: Vec<(LinkNo, Vec<RunKey>)> = Vec::new();
-        for (run, link) in job.live() {
-            self.runs.remove(&run);
-            add_stop(&mut stops, link, run);
-        }
-        self.send_stops(stops);
-    }
-
-    fn send_stops(&mut self, stops: Vec<(LinkNo, Vec<RunKey>)>) {
-        for (link, runs) in stops {
+        for (link, runs) in by_link(&job) {
+            for run in &runs {
+                self.runs.remove(run);
+            }
             let message = PlannerMessage::Stop(runs);
             self.steps.push(PlannerStep::Send { link, message });
         }
     }
 }
 
-/// Adds a run to those that are to be stopped over a link.
-fn add_stop(stops: &mut Vec<(LinkNo, Vec<RunKey>)>, link: LinkNo, run: RunKey) {
-    match stops.iter_mut().find(|(l, _)| *l == link) {
-        Some((_, runs)) => runs.push(run),
-        None => stops.push((link, vec![run])),
+/// Returns the runs of a job that may be going on, by the link to their upstream.
+fn by_link(job: &Job) -> BTreeMap<LinkNo, Vec<RunKey>> {
+    let mut rows: BTreeMap<LinkNo, Vec<RunKey>> = BTreeMap::new();
+    for (run, link) in job.live() {
+        rows.entry(link).or_default().push(run);
     }
+    rows
 }
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -159,6 +159,11 @@
                     self.stop(run);
                 }
             }
+            PlannerMessage::Withdraw(runs) => {
+                for run in runs {
+                    self.withdraw(run);
+                }
+            }
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -4,7 +4,7 @@
 
 use super::call::{CallOutcome, Refused};
 use super::event::RunnerEvent;
-use super::state::{RunState, Runner, RunnerStep};
+use super::state::{Run, RunState, Runner, RunnerStep};
 
 /// How much of the past is kept with each run in the mean time that runs take.
 const KEEP: f64 = 0.95;
@@ -16,11 +16,7 @@
             return;
         };
         match row.state {
-            RunState::Queued => {
-                let link = row.link;
-                self.runs.remove(&run);
-                self.refuse(run, link, RefuseReason::Stopped);
-            }
+            RunState::Queued => self.withdraw(run),
             RunState::Starting | RunState::Unsure(_) => row.doomed = true,
             RunState::Running(_) => {
                 row.state = RunState::Stopping;
@@ -30,6 +26,17 @@
         }
     }
 
+    /// Refuses a run that still waits for room. The upstream may have begun any other.
+    pub(super) fn withdraw(&mut self, run: RunKey) {
+        let waits = |r: &&Run| r.state == RunState::Queued;
+        let Some(row) = self.runs.get(&run).filter(waits) else {
+            return;
+        };
+        let link = row.link;
+        self.runs.remove(&run);
+        self.refuse(run, link, RefuseReason::Stopped);
+    }
+
     pub(super) fn stop_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
         let stopping = self
             .runs
--- a/crates/chervilring_core/tests/runs/focused.rs
+++ b/crates/chervilring_core/tests/runs/focused.rs
@@ -1,6 +1,7 @@
 //! Single promises, each with the fault that it is about.
 
 use chervilring_core::runs::planner::JobAnswer;
+use chervilring_wire::Time;
 
 use super::world::{Happening, Way, Without, World, wanted};
 
@@ -85,3 +86,27 @@
     world.run(1_000_000);
     assert_eq!(answers(&world, place), [JobAnswer::Completed]);
 }
+
+#[test]
+fn a_job_at_the_end_of_its_hold_keeps_what_has_begun_unanswered() {
+    let mut world = started(1, 2);
+    // Its hold is (1.6 x 200 + 60) / 4 = 95 ms; the upstream runs its tasks and does not say so.
+    world.mute = Time(world.now.0 + 110_000);
+    let place = world.want(0, wanted(1, 4, 200));
+    world.run(2_000_000);
+    assert_eq!(answers(&world, place), [JobAnswer::Completed]);
+    assert_eq!(world.starts, 4);
+}
+
+#[test]
+fn a_job_at_the_end_of_its_hold_is_called_back_from_a_queue() {
+    let mut world = started(1, 1);
+    world.want(0, wanted(1, 8, 2_000));
+    world.run(50_000);
+    let place = world.want(0, wanted(2, 4, 200));
+    world.run(500_000);
+    assert!(matches!(
+        answers(&world, place)[..],
+        [JobAnswer::Refused(_)]
+    ));
+}
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -99,6 +99,8 @@
     pub(crate) upstreams: Vec<Upstream>,
     /// The share of calls that get no answer and are carried out late.
     pub(crate) late: f64,
+    /// Until then starts are carried out at once and their answers are lost.
+    pub(crate) mute: Time,
     /// Upstreams on which tasks stand still.
     pub(crate) hangs: BTreeSet<usize>,
     /// Upstreams on which tasks fail.
@@ -142,6 +144,7 @@
             jobs: Vec::new(),
             upstreams,
             late: 0.0,
+            mute: Time::default(),
             hangs: BTreeSet::new(),
             fails: BTreeSet::new(),
             planners: Vec::new(),
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -68,6 +68,10 @@
             return;
         }
         let outcome = self.carry(r, &call);
+        if matches!(call, WorkerCall::Start { .. }) && self.now < self.mute {
+            self.at(CALL_TIME, Happening::Called(r, life, now, call, lost));
+            return;
+        }
         self.at(2 * NEAR, Happening::Called(r, life, now, call, outcome));
     }
 
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -109,6 +109,9 @@
     Start(StartRuns),
     /// Runs to stop, if they are there.
     Stop(Vec<RunKey>),
+    /// Runs that are no more wanted if they still wait for room; those that the upstream was asked
+    /// to begin go on.
+    Withdraw(Vec<RunKey>),
 }
 
 /// A copy of the operators' configuration as it lies in the store.
