Runners link to eight planners each; planners send the heartbeats

Cause: each runner dialled each planner: 35 planners and 160 runners held 5,600 links with a heartbeat each way every 100 ms, 112,000 messages a second at rest. Weighed: heartbeats in longer intervals (the time in which a lost link must show is bound to the callers' wait before they send again); links through one process a rack (a process more whose loss is felt); parts by failure domain (a domain's loss leaves its planners without upstreams). Taken: rendezvous hashing, eight planners a runner, the next one in order for each that cannot be reached; links that are not needed any more are closed once nothing runs over them. A runner answers the planner's heartbeat in place of a timer of its own: one wake a link in place of two.

--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -77,6 +77,11 @@
         /// Its failure domain.
         domain: DomainName,
     },
+    /// A link was closed that its runner did not need any more.
+    LinkParted {
+        /// The runner.
+        runner: Name,
+    },
     /// A link to a runner has ended.
     LinkDown {
         /// The runner.
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -225,6 +225,7 @@
                     upstream.echo = number;
                 }
             }
+            RunnerMessage::Part => self.part(link),
             RunnerMessage::State(state) => self.set_state(now, link, state),
             RunnerMessage::Started(run) => {
                 if let Some(&(no, _)) = self.runs.get(&run).filter(|_| self.is_at(&run, link)) {
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -129,6 +129,21 @@
         self.changed = true;
     }
 
+    /// Closes a link that its runner does not need. Starts that are under way to it keep it open.
+    pub(super) fn part(&mut self, link: LinkNo) {
+        let mut live = self.jobs.values().flat_map(Job::live);
+        if live.any(|(_, l)| l == link) {
+            return;
+        }
+        let Some(upstream) = self.links.remove(&link) else {
+            return;
+        };
+        let runner = upstream.name;
+        let event = PlannerEvent::LinkParted { runner };
+        self.steps.push(PlannerStep::Log(event));
+        self.steps.push(PlannerStep::Close(link));
+    }
+
     /// Closes links on which nothing is heard.
     fn drop_silent(&mut self, now: Time) {
         let silent = |u: &Upstream| now.since(u.heard) > LINK_SILENCE;
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -2,10 +2,13 @@
 
 use std::collections::VecDeque;
 
-use chervilring_wire::{Time, UpstreamState};
+use chervilring_wire::{Micros, Time, UpstreamState};
 
 use crate::runs::bounds::LINK_SILENCE;
 
+/// How long starts may be under way over a link on which no more are wanted.
+const QUIET: Micros = Micros::from_millis(200);
+
 /// A link to a planner.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -23,6 +26,8 @@
     pub(super) number: u64,
     /// The state that was last told.
     pub(super) told: Option<UpstreamState>,
+    /// Once it is not needed any more: when it may be closed, if nothing runs over it.
+    pub(super) parting: Option<Time>,
 }
 
 impl Link {
@@ -35,6 +40,7 @@
             alive: Time::NEVER,
             number: 0,
             told: None,
+            parting: None,
         }
     }
 
@@ -45,6 +51,18 @@
         self.alive = now + LINK_SILENCE;
     }
 
+    /// Takes in that starts have come over it, or that it is not needed any more.
+    pub(super) fn put_off(&mut self, now: Time) {
+        self.parting = Some(now + QUIET);
+    }
+
+    /// Returns the number of the next heartbeat, which is sent now.
+    pub(super) fn next_beat(&mut self, now: Time) -> u64 {
+        self.beat += 1;
+        self.open.push_back((self.beat, now));
+        self.beat
+    }
+
     /// Takes in that the planner has heard a heartbeat: the link is alive since that was sent.
     pub(super) fn answered(&mut self, echo: u64) {
         while let Some(&(number, sent)) = self.open.front() {
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions of a runner: the last word on an upstream's capacity, its lease, and what runs.
 
 mod call;
+mod dial;
 mod event;
 mod lease;
 mod links;
@@ -14,6 +15,7 @@
 mod worker;
 
 pub use call::{CallOutcome, ListedEnd, ListedRun, Lists, Refused, WorkerCall, WorkerLife};
+pub use dial::{Dial, Due, PLANNERS};
 pub use event::RunnerEvent;
 pub use lease::Lease;
 pub use state::{Runner, RunnerStep};
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -19,6 +19,9 @@
             return;
         };
         row.number = start.number;
+        if row.parting.is_some() {
+            row.put_off(now);
+        }
         let free = self.free();
         let latest = now + start.patience;
         let first = start.runs.first().copied();
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -11,7 +11,7 @@
 use super::event::RunnerEvent;
 use super::links::Link;
 use super::worker::{Report, Worker};
-use crate::runs::bounds::{BEAT, RUN_GONE, patience_step};
+use crate::runs::bounds::{RUN_GONE, patience_step};
 use crate::runs::planner::LinkNo;
 
 /// How long runs are assumed to take before the first has ended, in microseconds.
@@ -86,7 +86,6 @@
     pub(super) links: BTreeMap<LinkNo, Link>,
     pub(super) steps: Vec<RunnerStep>,
     pub(super) config: Option<ConfigCopy>,
-    pub(super) beat: Time,
     /// When progress is told next.
     pub(super) report: Time,
     /// Until when work in flight is waited for, once the runner leaves.
@@ -112,7 +111,6 @@
             links: BTreeMap::new(),
             steps: Vec::new(),
             config: None,
-            beat: now + BEAT,
             report: now,
             leaving: None,
             open: false,
@@ -133,6 +131,15 @@
         self.tick(now);
     }
 
+    /// Takes in that a link is not needed any more: nothing more is wanted over it, and the planner is
+    /// asked to close it once nothing runs.
+    pub fn part(&mut self, now: Time, link: LinkNo) {
+        if let Some(row) = self.links.get_mut(&link) {
+            row.put_off(now);
+        }
+        self.tick(now);
+    }
+
     /// Takes in a message of a planner.
     pub fn message(&mut self, now: Time, link: LinkNo, message: PlannerMessage) {
         if let Some(row) = self.links.get_mut(&link).filter(|l| !l.heard) {
@@ -144,6 +151,8 @@
             PlannerMessage::Beat(echo) => {
                 if let Some(row) = self.links.get_mut(&link) {
                     row.answered(echo);
+                    let message = RunnerMessage::Beat(row.next_beat(now));
+                    self.steps.push(RunnerStep::Send { link, message });
                 }
             }
             PlannerMessage::Keep(config) => self.keep(config),
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -8,7 +8,7 @@
 use super::state::{Run, RunState, Runner, RunnerStep};
 use super::telling::{differs, grain};
 use super::worker::{Contact, Worker, WorkerState};
-use crate::runs::bounds::{BEAT, LEASE};
+use crate::runs::bounds::LEASE;
 use crate::runs::planner::LinkNo;
 
 /// How long the upstream may wait for an end before it answers, while it runs something: an end
@@ -32,10 +32,7 @@
         self.check_silence(now);
         self.check_lease(now);
         self.greet_links(now);
-        if now >= self.beat {
-            self.beat = now + BEAT;
-            self.send_beats(now);
-        }
+        self.part_links(now);
         self.start_queued(now);
         self.hold(now);
         self.log_open();
@@ -45,7 +42,11 @@
 
     /// Returns when something is due.
     pub fn wake_at(&self) -> Time {
-        let mut wake = self.beat;
+        let mut wake = Time::NEVER;
+        for row in self.links.values().filter(|l| l.greeted) {
+            wake = wake.min(row.alive + Micros(1));
+            wake = wake.min(row.parting.unwrap_or(Time::NEVER));
+        }
         let queued = self.runs.values().filter(|r| r.state == RunState::Queued);
         if let Some(latest) = queued.map(|r| r.latest).min() {
             wake = wake.min(latest + Micros(1));
@@ -87,9 +88,10 @@
         }
         // One that was never heard is a planner that could not be reached as yet.
         if lost.heard {
+            let is_parted = lost.parting.is_some() && runs.is_empty();
             let event = RunnerEvent::LinkLost {
                 link: link.0,
-                why,
+                why: if is_parted { "not needed" } else { why },
                 runs: runs.len() as u32,
             };
             self.steps.push(RunnerStep::Log(event));
@@ -238,14 +240,19 @@
         }
     }
 
-    /// Says hello on new links, once nothing runs for a planner that was lost.
-    fn greet_links(&mut self, now: Time) {
+    /// Returns whether planners may be greeted: nothing runs for one that was lost.
+    pub fn may_greet(&self, now: Time) -> bool {
         if self.runs.values().any(|r| r.link.is_none()) {
-            return;
+            return false;
         }
         // What an earlier life of this runner has started is known from the upstream's lists, or
         // over with its lease.
-        if now < self.past && !self.worker.as_ref().is_some_and(|w| w.known) {
+        now >= self.past || self.worker.as_ref().is_some_and(|w| w.known)
+    }
+
+    /// Says hello on new links.
+    fn greet_links(&mut self, now: Time) {
+        if !self.may_greet(now) {
             return;
         }
         let kept = self.kept();
@@ -263,11 +270,16 @@
         }
     }
 
-    fn send_beats(&mut self, now: Time) {
-        for (&link, row) in self.links.iter_mut().filter(|(_, l)| l.greeted) {
-            row.beat += 1;
-            row.open.push_back((row.beat, now));
-            let message = RunnerMessage::Beat(row.beat);
+    /// Asks planners to close links that are not needed and over which nothing runs.
+    fn part_links(&mut self, now: Time) {
+        let busy: FxHashSet<LinkNo> = self.runs.values().filter_map(|r| r.link).collect();
+        for (&link, row) in &mut self.links {
+            let is_due = row.parting.is_some_and(|at| now >= at);
+            if !is_due || busy.contains(&link) {
+                continue;
+            }
+            row.put_off(now);
+            let message = RunnerMessage::Part;
             self.steps.push(RunnerStep::Send { link, message });
         }
     }
@@ -290,9 +302,10 @@
         let Some(worker) = &self.worker else {
             return;
         };
+        let is_open = self.is_open();
         let mut state = UpstreamState {
             number: 0,
-            open: self.is_open(),
+            open: is_open,
             service: worker.report.service.clone(),
             capacity: worker.report.capacity,
             free: self.free(),
@@ -304,6 +317,7 @@
         let grain = grain(self.links.len());
         for (&link, row) in self.links.iter_mut().filter(|(_, l)| l.greeted) {
             state.number = row.number;
+            state.open = is_open && row.parting.is_none();
             let is_due = row.told.as_ref().is_none_or(|told| {
                 *told != state && (busy.contains(&link) || differs(told, &state, grain))
             });
--- a/crates/chervilring_core/tests/runs/focused.rs
+++ b/crates/chervilring_core/tests/runs/focused.rs
@@ -110,3 +110,27 @@
         [JobAnswer::Refused(_)]
     ));
 }
+
+#[test]
+fn a_link_that_is_not_needed_ends_when_its_runs_have() {
+    let mut world = started(1, 2);
+    let place = world.want(0, wanted(1, 8, 900));
+    world.run(200_000);
+    let runs: Vec<usize> = world.upstreams.iter().map(|u| u.going.len()).collect();
+    assert!(runs.iter().all(|&n| n > 0), "{runs:?}");
+    world.at(0, Happening::Part(0, 1));
+    world.run(3_000_000);
+    assert_eq!(answers(&world, place), [JobAnswer::Completed]);
+    assert_eq!(world.starts, 8);
+    assert!(world.parted > 0, "the link was not closed");
+}
+
+#[test]
+fn over_a_link_that_is_not_needed_nothing_more_is_started() {
+    let mut world = started(1, 2);
+    world.at(0, Happening::Part(0, 1));
+    world.run(10_000);
+    world.want(0, wanted(1, 8, 900));
+    world.run(100_000);
+    assert_eq!(world.upstreams[1].going.len(), 0);
+}
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod copies;
+mod dial;
 mod focused;
 mod order;
 mod placing;
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -69,6 +69,12 @@
             _ => world.at(at, Happening::Cut(p, r, way, span)),
         }
     }
+    // Links come and go as other planners are preferred.
+    let mut parts = fastrand::Rng::with_seed(seed ^ 0x9A27);
+    for _ in 0..parts.u32(0..8) {
+        let (p, r) = (parts.usize(0..3), parts.usize(0..4));
+        world.at(parts.u64(0..FAULTS), Happening::Part(p, r));
+    }
     world.run(FAULTS + 12_000_000);
     world
 }
--- a/crates/chervilring_core/tests/runs/world/links.rs
+++ b/crates/chervilring_core/tests/runs/world/links.rs
@@ -155,6 +155,16 @@
         }
     }
 
+    /// Has a runner give up its links to a planner once nothing runs over them.
+    pub(super) fn part(&mut self, p: usize, r: usize) {
+        let of = |l: &Link| l.open && l.planner == p && l.runner == r;
+        let rows = self.links.iter().filter(|(_, l)| of(l));
+        let ids: Vec<u64> = rows.map(|(&id, _)| id).collect();
+        for id in ids {
+            self.wake_runner(r, |core, now| core.part(now, LinkNo(id)));
+        }
+    }
+
     pub(super) fn shut(&mut self, link: u64) {
         if let Some(row) = self.links.get_mut(&link) {
             row.open = false;
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -79,6 +79,8 @@
     Crash(usize, u64),
     Drain(usize),
     ResetCaller(usize),
+    /// A runner does not need its links to a planner any more.
+    Part(usize, usize),
 }
 
 /// The direction of a cut.
@@ -123,6 +125,8 @@
     pub(crate) refusals: u32,
     /// States of upstreams that planners were told.
     pub(crate) states: u32,
+    /// Links that were closed for not being needed.
+    pub(crate) parted: u32,
     traced: bool,
 }
 
@@ -161,6 +165,7 @@
             starts: 0,
             refusals: 0,
             states: 0,
+            parted: 0,
             traced: std::env::var_os("CHERVILRING_TRACE").is_some(),
         };
         for place in 0..planners {
@@ -311,6 +316,7 @@
                 self.report(r);
             }
             Happening::ResetCaller(job) => self.reset_caller(job),
+            Happening::Part(p, r) => self.part(p, r),
         }
     }
 
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use chervilring_core::runs::planner::PlannerStep;
+use chervilring_core::runs::planner::{PlannerEvent, PlannerStep};
 use chervilring_core::runs::runner::{CallOutcome, RunnerStep, WorkerCall};
 use chervilring_wire::{RefuseReason, RunKey, RunnerMessage, Time};
 
@@ -24,7 +24,11 @@
                 self.answered(job, answer);
             }
             PlannerStep::Config(_) => {}
-            PlannerStep::Log(event) => self.note(&format!("planner {p}: {event:?}")),
+            PlannerStep::Log(event) => {
+                let is_part = matches!(event, PlannerEvent::LinkParted { .. });
+                self.parted += u32::from(is_part);
+                self.note(&format!("planner {p}: {event:?}"));
+            }
         }
     }
 
--- a/crates/chervilring_daemon/src/runs/mod.rs
+++ b/crates/chervilring_daemon/src/runs/mod.rs
@@ -12,7 +12,6 @@
 mod ports;
 mod registry;
 mod runner;
-mod runner_dial;
 mod runner_log;
 mod runner_report;
 mod settings;
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -6,7 +6,7 @@
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_core::runs::runner::{Report, RunnerStep};
+use chervilring_core::runs::runner::{Dial, Due, Report, RunnerStep};
 use chervilring_wire::{PlannerMessage, Time};
 use slog::{Logger, info, warn};
 use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
@@ -16,7 +16,6 @@
 use super::pause::PauseWatch;
 use super::ports;
 use super::registry::{self, Registry, StoreEvent};
-use super::runner_dial::{Dial, Due};
 use super::runner_log;
 use super::runner_report::RunnerReport;
 use super::settings::{Reload, RunnerConfig};
@@ -109,8 +108,8 @@
     let fence = clock.now().wall.0;
     let time = clock.time();
     let name = config.name.clone();
+    let mut dial = Dial::new(name.clone());
     let runner = Runner::new(name, config.domain.clone(), config.lease, fence, time);
-    let mut dial = Dial::default();
     dial.set_seeds(time, &seeds(&config));
     let parts = Parts {
         runner,
@@ -291,8 +290,9 @@
             ..
         } = &mut self.parts;
         let take = |message: PlannerMessage| {
-            dial.heard(event.id);
-            runner.message(clock.time(), LinkNo(event.id.0), message);
+            let (now, link) = (clock.time(), LinkNo(event.id.0));
+            dial.heard(now, link);
+            runner.message(now, link, message);
         };
         let state = links.serve(event, take).unwrap_or_else(|error| {
             warn!(log, "link dropped"; "error" => %error);
@@ -307,18 +307,21 @@
     fn close(&mut self, link: LinkId) {
         self.parts.links.close(link);
         let now = self.parts.clock.time();
-        self.parts.dial.closed(now, link);
+        self.parts.dial.closed(now, LinkNo(link.0));
         self.parts.runner.link_down(now, LinkNo(link.0));
     }
 
     fn dial(&mut self, now: Time) {
-        for due in self.parts.dial.due(now) {
+        let ready = self.parts.runner.may_greet(now);
+        for due in self.parts.dial.due(now, ready) {
             match due {
-                Due::Close(link) => self.close(link),
+                Due::Close(link) => self.close(LinkId(link.0)),
+                Due::Part(link) => self.parts.runner.part(now, link),
                 Due::Dial(addr) => match self.parts.links.dial(addr) {
                     Ok(link) => {
+                        let link = LinkNo(link.0);
                         self.parts.dial.opened(now, addr, link);
-                        self.parts.runner.link_up(now, LinkNo(link.0));
+                        self.parts.runner.link_up(now, link);
                     }
                     Err(error) => {
                         warn!(self.parts.log, "planner not dialled"; "addr" => %addr,
@@ -352,7 +355,7 @@
                 }
                 RunnerStep::Close(link) => {
                     self.parts.links.close(LinkId(link.0));
-                    self.parts.dial.closed(now, LinkId(link.0));
+                    self.parts.dial.closed(now, link);
                 }
                 RunnerStep::Call(call) => self.parts.calls.start(call),
                 RunnerStep::Keep(report) => {
@@ -362,7 +365,7 @@
                 }
                 RunnerStep::Log(event) => {
                     self.parts.report.count(&event);
-                    let planner = |link| self.parts.dial.addr_of(LinkId(link));
+                    let planner = |link| self.parts.dial.addr_of(LinkNo(link));
                     runner_log::log(&self.parts.log, &event, planner);
                 }
                 RunnerStep::Left => cx.shutdown(StopCause::Stopped),
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -99,7 +99,8 @@
 /// What a planner tells a runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlannerMessage {
-    /// The periodic heartbeat: the number of the newest one that came from the runner.
+    /// The periodic heartbeat: the number of the newest one that came from the runner, which answers
+    /// with its next.
     Beat(u64),
     /// A copy of the configuration that the runner is to keep.
     Keep(ConfigCopy),
@@ -156,8 +157,10 @@
     Kept(u64),
     /// The copy of the configuration that it was asked for.
     Copy(ConfigCopy),
-    /// The periodic heartbeat, numbered from one.
+    /// The answer to a heartbeat, numbered from one.
     Beat(u64),
+    /// The link is not needed any more and nothing runs over it: the planner may close it.
+    Part,
     /// The state of the upstream, after each change.
     State(UpstreamState),
     /// A run that the upstream has begun.
