An upstream that leaves is not used by the next life of its runner

Cause: a runner keeps in the store what its upstream said at the start of its life only. One that was restarted while its upstream was leaving read that it takes work, found it healthy, and used it until its next report, up to a second and a half later; and the read could be some seconds old. Ruled out: the lists of the upstream, which tell of runs and not of its state. After: changes of the state are kept, and read past any cache. Conclusion: one write for each upstream that leaves.

--- a/crates/chervilring_core/src/runs/runner/lives.rs
+++ b/crates/chervilring_core/src/runs/runner/lives.rs
@@ -39,7 +39,8 @@
         if let Some(clock) = report.clock {
             worker.lease.read(now, clock);
         }
-        if !worker.described {
+        // A next life of the runner must not use an upstream that is leaving.
+        if !worker.described || report.state != worker.report.state {
             worker.described = true;
             self.steps.push(RunnerStep::Keep(report.clone()));
         }
@@ -66,6 +67,7 @@
     pub fn left(&mut self, now: Time, id: &str) {
         if let Some(worker) = self.worker.as_mut().filter(|w| &*w.report.life.id == id) {
             worker.report.state = WorkerState::Left;
+            self.steps.push(RunnerStep::Keep(worker.report.clone()));
         }
         self.tick(now);
     }
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -6,6 +6,7 @@
 mod focused;
 mod order;
 mod placing;
+mod restarts;
 mod schedules;
 mod units;
 mod upstream;
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -37,6 +37,7 @@
 const NO_LEASE: u64 = 0;
 
 type GetConfig = dyn Fn() -> Result<Option<(u64, Pair)>, StoreError> + Send + Sync;
+type Get = dyn Fn(&str) -> Result<Option<Pair>, StoreError> + Send + Sync;
 type List = dyn Fn(&str) -> Result<Vec<Pair>, StoreError> + Send + Sync;
 type Put = dyn Fn(&str, &[u8], u64) -> Result<(), StoreError> + Send + Sync;
 type Grant = dyn Fn(Micros) -> Result<u64, StoreError> + Send + Sync;
@@ -47,6 +48,8 @@
 pub struct Registry {
     /// Reads the newest configuration with its version, past any cache.
     pub config: Arc<GetConfig>,
+    /// Reads a key, past any cache.
+    pub get: Arc<Get>,
     /// Reads the keys with a prefix, which may be some seconds old.
     pub list: Arc<List>,
     /// Writes a key under a lease.
@@ -133,14 +136,14 @@
 /// Reads what the upstream of a runner had last said, if that can be had.
 pub(super) fn recall(registry: &Registry, name: &str, log: &Logger) -> Option<Report> {
     let key = format!("{UPSTREAMS}{name}");
-    let pairs = match (registry.list)(&key) {
-        Ok(pairs) => pairs,
+    // An old copy may say of an upstream that has left that it takes work.
+    let pair = match (registry.get)(&key) {
+        Ok(pair) => pair?,
         Err(error) => {
             warn!(log, "upstream not recalled"; "error" => %error);
             return None;
         }
     };
-    let pair = pairs.into_iter().find(|p| p.key == key)?;
     match postcard::from_bytes(&pair.value) {
         Ok(report) => Some(report),
         Err(error) => {
