Planner: jobs that no upstream could run are refused at once; the settings' factor for remote data

Cause: a task larger than each upstream, or with a label that none has, was held for a quarter of its objective before it was refused, though nothing could change by waiting. And tasks away from the rack of their data were taken to run 1.5 times as long, whatever the settings say (up to 3 on one deployment). Ruled out: refusing while no upstream of the service is known: links may come up within the hold. Before: a job of nine cores on upstreams of eight was held; the new tests did not build. After: refused in the same step, as Unfit; a task waits near its data where it would be late elsewhere.

--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -5,15 +5,12 @@
 };
 
 use super::event::PlannerEvent;
-use super::job::{Job, TaskState};
+use super::job::{Job, Step, TaskState};
 use super::links::LinkNo;
 use super::placement::{Choice, Offer, Wish, choose};
 use super::state::{Planner, PlannerStep};
 use super::upstream::wait;
 
-/// How much longer a task runs away from the rack of its data.
-const FAR_FACTOR: f64 = 1.5;
-
 /// The share of all upstreams' processors from which a step counts as wide.
 const WIDE: f64 = 0.25;
 
@@ -99,6 +96,21 @@
         left
     }
 
+    /// Returns whether no upstream of its service, of those that are known, could ever run a task of a
+    /// job.
+    pub(super) fn is_unfit(&self, no: u64) -> bool {
+        let Some(job) = self.jobs.get(&no) else {
+            return false;
+        };
+        let service = job.new.route.service.as_str();
+        let open = self.links.values().filter(|u| u.does(service));
+        let states: Vec<&UpstreamState> = open
+            .filter_map(|u| u.state.as_ref().map(|(s, _)| s))
+            .collect();
+        let unfit = |step: &Step| !states.iter().any(|s| could_run(s, step));
+        !states.is_empty() && job.new.steps.iter().any(unfit)
+    }
+
     /// Returns whether a step is so wide that its tasks cannot be expected to run at once.
     fn is_wide(&self, no: u64, step: usize) -> bool {
         let Some(job) = self.jobs.get(&no) else {
@@ -179,9 +191,7 @@
             let Some(profile) = self.profiles.get(&upstream.name) else {
                 continue;
             };
-            let fits = state.capacity.holds(&row.demand);
-            let labelled = row.label.as_ref().is_none_or(|l| state.labels.contains(l));
-            if !fits || !labelled {
+            if !could_run(state, row) {
                 continue;
             }
             let mut room = u32::MAX;
@@ -195,7 +205,7 @@
             let latest = job.latest(now, run);
             let patience = now.until(latest);
             if row.rack.as_ref().is_some_and(|r| !state.labels.contains(r)) {
-                run = Micros((run.0 as f64 * FAR_FACTOR) as u64);
+                run = Micros((run.0 as f64 * self.settings.far) as u64);
             }
             slots.push(Slot {
                 link,
@@ -270,3 +280,9 @@
         self.steps.push(PlannerStep::Log(event));
     }
 }
+
+/// Returns whether an upstream could run a task of a step if nothing else ran there.
+fn could_run(state: &UpstreamState, step: &Step) -> bool {
+    let labelled = step.label.as_ref().is_none_or(|l| state.labels.contains(l));
+    labelled && state.capacity.holds(&step.demand)
+}
--- a/crates/chervilring_core/src/runs/planner/settings.rs
+++ b/crates/chervilring_core/src/runs/planner/settings.rs
@@ -13,6 +13,8 @@
     pub comeback: Micros,
     /// How long callers wait at the least before they send a job again that got no answer.
     pub resend: Micros,
+    /// How many times longer a task runs away from the rack of its data.
+    pub far: f64,
 }
 
 /// A caller who hears of a refusal within this share of the objective can still go elsewhere.
@@ -24,6 +26,9 @@
 /// What the users' first deployments say of their callers.
 const RESEND: Micros = Micros::from_millis(1_300);
 
+/// How much longer a task is taken to run away from the rack of its data, where that is not set.
+const FAR: f64 = 1.5;
+
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
@@ -31,6 +36,7 @@
             seed: 1,
             comeback: COMEBACK,
             resend: RESEND,
+            far: FAR,
         }
     }
 }
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -34,6 +34,8 @@
 pub enum Refusal {
     /// There was no room for it in time.
     Overload,
+    /// No upstream that is known could ever run one of its tasks.
+    Unfit,
     /// No upstream of its service can be reached.
     Unreachable,
     /// The process is about to stop, or has stood still.
@@ -164,6 +166,10 @@
             withdrawn: false,
         };
         self.jobs.insert(no, job);
+        if self.is_unfit(no) {
+            self.give_up(now, no, Refusal::Unfit);
+            return;
+        }
         let left = self.place(now, no);
         if left > 0 && self.jobs.get(&no).is_some_and(|j| !j.is_sent()) {
             self.log_queued(no);
@@ -256,6 +262,11 @@
         self.config = Some(config);
     }
 
+    /// Sets how much longer tasks run away from the rack of their data.
+    pub fn set_far(&mut self, far: f64) {
+        self.settings.far = far;
+    }
+
     /// Sets how long callers wait before they send a job again.
     pub fn set_resend(&mut self, resend: Micros) {
         self.settings.resend = resend;
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -8,6 +8,7 @@
 mod placing;
 mod restarts;
 mod schedules;
+mod unfit;
 mod units;
 mod upstream;
 mod world;
--- /dev/null
+++ b/crates/chervilring_core/tests/runs/unfit.rs
@@ -0,0 +1,163 @@
+//! Jobs that no upstream can hold, and tasks away from their data.
+
+use std::sync::Arc;
+
+use chervilring_core::runs::Planner;
+use chervilring_core::runs::Route;
+use chervilring_core::runs::planner::{
+    Caller, JobAnswer, LinkNo, NewJob, PlannerSettings, PlannerStep, Refusal, Step,
+};
+use chervilring_wire::{
+    JobId, Micros, Name, PlannerMessage, Resources, RunnerMessage, Time, UpstreamState,
+};
+
+const NOW: Time = Time(1_000_000);
+
+fn amount(cpu: u64) -> Resources {
+    Resources {
+        cpu,
+        memory: 1_000,
+        gpu: 0,
+    }
+}
+
+/// Returns a planner with an upstream of eight cores in each of two racks.
+fn planner(settings: PlannerSettings) -> Planner {
+    let mut planner = Planner::new(settings, NOW);
+    for (link, rack) in [(1, "r1"), (2, "r2")] {
+        let hello = RunnerMessage::Hello {
+            name: rack.into(),
+            domain: "d".into(),
+            kept: 0,
+        };
+        planner.message(NOW, LinkNo(link), hello);
+        let state = UpstreamState {
+            number: 0,
+            open: true,
+            service: "s".into(),
+            capacity: amount(8_000),
+            free: amount(8_000),
+            queued: Vec::new(),
+            span: Micros::from_millis(100),
+            labels: vec![Name::from(rack)],
+        };
+        planner.message(NOW, LinkNo(link), RunnerMessage::State(state));
+    }
+    planner.drain();
+    planner
+}
+
+fn step(cpu: u64) -> Step {
+    Step {
+        count: 1,
+        demand: amount(cpu),
+        size: Micros::from_millis(200),
+        ..Step::default()
+    }
+}
+
+/// Hands in a job of one step and returns what is carried out at once.
+fn submit(planner: &mut Planner, step: Step) -> Vec<PlannerStep> {
+    let route = Route {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        service: "s".into(),
+        priority: 0,
+        timeout: Micros::from_secs(3),
+        slack: 1.6,
+        target: Micros::from_millis(60),
+        attempts: 2,
+    };
+    let job = NewJob {
+        id: JobId(1),
+        route: Arc::new(route),
+        version: 1,
+        spec: "spec".into(),
+        request: "".into(),
+        steps: vec![step],
+        deadline: NOW + Micros::from_secs(3),
+    };
+    planner.submit(NOW, Caller(1), job);
+    planner.drain()
+}
+
+fn answer(steps: &[PlannerStep]) -> Option<JobAnswer> {
+    steps.iter().find_map(|step| match step {
+        PlannerStep::Answer { answer, .. } => Some(*answer),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_task_larger_than_any_upstream_is_refused_at_once() {
+    let mut planner = planner(PlannerSettings::default());
+    let steps = submit(&mut planner, step(8_001));
+    assert_eq!(answer(&steps), Some(JobAnswer::Refused(Refusal::Unfit)));
+}
+
+#[test]
+fn a_label_that_no_upstream_has_is_refused_at_once() {
+    let mut planner = planner(PlannerSettings::default());
+    let mut step = step(1_000);
+    step.label = Some("r3".into());
+    let steps = submit(&mut planner, step);
+    assert_eq!(answer(&steps), Some(JobAnswer::Refused(Refusal::Unfit)));
+}
+
+#[test]
+fn a_job_that_fits_an_upstream_is_begun() {
+    let mut planner = planner(PlannerSettings::default());
+    let steps = submit(&mut planner, step(8_000));
+    assert_eq!(answer(&steps), None);
+    let starts = |s: &PlannerStep| match s {
+        PlannerStep::Send { message, .. } => matches!(message, PlannerMessage::Start(_)),
+        _ => false,
+    };
+    assert!(steps.iter().any(starts), "{steps:?}");
+}
+
+#[test]
+fn a_planner_that_knows_no_upstream_yet_does_not_call_a_job_unfit() {
+    let mut planner = Planner::new(PlannerSettings::default(), NOW);
+    let steps = submit(&mut planner, step(1_000));
+    assert_eq!(answer(&steps), None);
+}
+
+/// Returns the runner that a task with its data in the first rack is sent to, when the upstream
+/// there is busy for some time.
+fn placed(far: f64) -> LinkNo {
+    let settings = PlannerSettings {
+        far,
+        ..PlannerSettings::default()
+    };
+    let mut planner = planner(settings);
+    let state = UpstreamState {
+        number: 0,
+        open: true,
+        service: "s".into(),
+        capacity: amount(8_000),
+        free: amount(0),
+        queued: Vec::new(),
+        span: Micros::from_millis(300),
+        labels: vec![Name::from("r1")],
+    };
+    planner.message(NOW, LinkNo(1), RunnerMessage::State(state));
+    let mut step = step(2_000);
+    step.rack = Some("r1".into());
+    let steps = submit(&mut planner, step);
+    let sent = steps.into_iter().find_map(|step| match step {
+        PlannerStep::Send {
+            link,
+            message: PlannerMessage::Start(_),
+        } => Some(link),
+        _ => None,
+    });
+    sent.expect("the task is sent")
+}
+
+#[test]
+fn a_task_waits_near_its_data_where_it_would_be_late_elsewhere() {
+    assert_eq!(placed(1.5), LinkNo(2));
+    assert_eq!(placed(3.0), LinkNo(1));
+}
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -116,6 +116,7 @@
     let settings = PlannerSettings {
         seed: clock.since_boot().0 ^ u64::from(runners.port()),
         resend: config.resend.unwrap_or(usual.resend),
+        far: config.far.unwrap_or(usual.far),
         ..usual
     };
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "callers" => %config.callers,
@@ -343,6 +344,9 @@
         if let Some(resend) = config.resend {
             self.parts.planner.set_resend(resend);
         }
+        if let Some(far) = config.far {
+            self.parts.planner.set_far(far);
+        }
         self.parts.config = config;
     }
 
--- a/crates/chervilring_daemon/src/runs/settings.rs
+++ b/crates/chervilring_daemon/src/runs/settings.rs
@@ -5,7 +5,7 @@
 use chervilring_wire::{DomainName, Micros, Name};
 
 /// The settings of a planner.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct PlannerConfig {
     /// The name, kept over restarts.
     pub name: Name,
@@ -23,6 +23,8 @@
     pub grace: Micros,
     /// How long callers wait before they send a job again, if that is set.
     pub resend: Option<Micros>,
+    /// How many times longer a task runs away from the rack of its data, if that is set.
+    pub far: Option<f64>,
 }
 
 /// The settings of a runner.
