Runners learn the speed of their upstream and have it kept

Cause: each planner learnt each upstream's speed from its own runs, and lost that with its process. After all planners were lost a slow upstream looked like any other: in the two seconds after the return of the large deployment's small twin a quarter of the new jobs ended late with waits of 8 to 50 ms, on upstreams at half the speed of others. With many planners each saw an eighth of the runs of one upstream. Ruled out: waits for room (20 to 50 ms on average, no more than in calm seconds), links (all were up 0.1 s after the start of their planner). Now the runner learns from all runs, tells the speed with its state, and has it kept in the store with what the upstream said, when it is 15 % off, every two seconds at most. A new life on the same host begins with it.

--- a/crates/chervilring_core/src/runs/mod.rs
+++ b/crates/chervilring_core/src/runs/mod.rs
@@ -9,8 +9,10 @@
 pub mod planner;
 mod route;
 pub mod runner;
+mod speed;
 
 pub use bounds::{BEAT, LEASE, LINK_SILENCE, PAUSE_LIMIT, RUN_GONE};
 pub use planner::Planner;
 pub use route::{Route, RouteTable};
 pub use runner::Runner;
+pub use speed::{Speed, run_at};
--- a/crates/chervilring_core/src/runs/planner/ends.rs
+++ b/crates/chervilring_core/src/runs/planner/ends.rs
@@ -2,17 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use chervilring_wire::{
-    Micros, Name, PlannerMessage, Progressed, RunEnd, RunKey, ServiceName, Time,
-};
-use rustc_hash::FxHashMap;
+use chervilring_wire::{Name, PlannerMessage, Progressed, RunEnd, RunKey, ServiceName, Time};
 
 use super::event::{LossCause, PlannerEvent};
 use super::job::TaskState;
 use super::links::LinkNo;
 use super::state::{JobAnswer, Planner, PlannerStep};
 use super::straggler::Pace;
-use super::upstream::{Profile, Upstream};
+use super::upstream::Upstream;
 
 impl Planner {
     /// Returns whether a run is known and was sent over a link.
@@ -31,20 +28,13 @@
         }
     }
 
-    pub(super) fn ended(
-        &mut self,
-        now: Time,
-        link: LinkNo,
-        run: RunKey,
-        (end, span): (RunEnd, Micros),
-    ) {
+    pub(super) fn ended(&mut self, now: Time, link: LinkNo, run: RunKey, end: RunEnd) {
         let Some(&(no, place)) = self.runs.get(&run) else {
             return;
         };
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
-        let size = job.step(place).size;
         job.started.get_or_insert(now);
         let task = &mut job.tasks[place];
         let name = self.links.get(&link).map(|u| u.name.clone());
@@ -52,7 +42,6 @@
         match end {
             RunEnd::Done => {
                 if let Some(profile) = profile {
-                    profile.speed.learn(size, span);
                     profile.health.good();
                 }
                 task.state = TaskState::Done;
@@ -103,11 +92,12 @@
             let TaskState::Sent { link, .. } = job.tasks[place].state else {
                 continue;
             };
-            let Some(name) = self.links.get(&link).map(|u| u.name.clone()) else {
+            let Some(upstream) = self.links.get(&link) else {
                 continue;
             };
-            let usual = self.profiles.get(&name).map_or(1.0, |p| p.speed.value());
-            let best = best_speed(&self.links, &self.profiles, &job.new.route.service);
+            let name = upstream.name.clone();
+            let usual = upstream.speed();
+            let best = best_speed(&self.links, &job.new.route.service);
             let seen = Pace {
                 percent: row.percent,
                 span: row.span,
@@ -131,7 +121,6 @@
             let Some(profile) = self.profiles.get_mut(&name) else {
                 continue;
             };
-            profile.speed.learn(seen.work(), seen.span);
             if row.percent == 0 && profile.health.bad(now) {
                 self.log_out(Some(name));
             }
@@ -155,19 +144,15 @@
         let Some(runner) = name else {
             return;
         };
-        let speed = self.profiles.get(&runner).map_or(1.0, |p| p.speed.value());
+        let mut here = self.links.values().filter(|u| u.name == runner);
+        let speed = here.next().map_or(1.0, Upstream::speed);
         let event = PlannerEvent::UpstreamOut { runner, speed };
         self.steps.push(PlannerStep::Log(event));
     }
 }
 
 /// Returns the speed of the fastest upstream that does a service, at least one.
-pub(super) fn best_speed(
-    links: &BTreeMap<LinkNo, Upstream>,
-    profiles: &FxHashMap<Name, Profile>,
-    service: &ServiceName,
-) -> f64 {
+pub(super) fn best_speed(links: &BTreeMap<LinkNo, Upstream>, service: &ServiceName) -> f64 {
     let open = links.values().filter(|u| u.does(service.as_str()));
-    let speeds = open.filter_map(|u| profiles.get(&u.name));
-    speeds.map(|p| p.speed.value()).fold(1.0, f64::max)
+    open.map(Upstream::speed).fold(1.0, f64::max)
 }
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -10,6 +10,7 @@
 use super::placement::{Choice, Offer, Wish, choose};
 use super::state::{Planner, PlannerStep};
 use super::upstream::wait;
+use crate::runs::speed::run_at;
 
 /// The share of all upstreams' processors from which a step counts as wide.
 const WIDE: f64 = 0.25;
@@ -201,7 +202,7 @@
             if let Some(spread) = row.spread {
                 room = room.min(spread.saturating_sub(job.there(step, link)));
             }
-            let mut run = profile.speed.run(row.size);
+            let mut run = run_at(state.speed, row.size);
             let latest = job.latest(now, run);
             let patience = now.until(latest);
             if row.rack.as_ref().is_some_and(|r| !state.labels.contains(r)) {
@@ -224,7 +225,7 @@
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
-        let demand = job.new.steps[step].demand;
+        let (demand, size) = (job.new.steps[step].demand, job.new.steps[step].size);
         let mut age = Micros::default();
         let mut shown = Vec::with_capacity(places.len());
         for place in places {
@@ -262,6 +263,7 @@
                 service: job.new.route.service.clone(),
                 spec: job.new.spec.clone(),
                 demand,
+                size,
                 patience,
                 runs,
             });
--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -70,7 +70,7 @@
         if job.started.is_none() {
             return false;
         }
-        let best = best_speed(&self.links, &self.profiles, &job.new.route.service);
+        let best = best_speed(&self.links, &job.new.route.service);
         let late = |t: &super::job::Task| {
             let TaskState::Waiting(at) = t.state else {
                 return false;
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -246,11 +246,11 @@
                     self.restart(now, run, LossCause::Refused(reason));
                 }
             }
-            RunnerMessage::Ended { run, end, span } => {
+            RunnerMessage::Ended { run, end } => {
                 self.count_down(link);
                 self.changed = true;
                 if self.is_at(&run, link) {
-                    self.ended(now, link, run, (end, span));
+                    self.ended(now, link, run, end);
                 }
             }
             RunnerMessage::Progress(rows) => self.progress(now, &rows),
--- a/crates/chervilring_core/src/runs/planner/straggler.rs
+++ b/crates/chervilring_core/src/runs/planner/straggler.rs
@@ -50,11 +50,6 @@
         Micros((self.span.0 as f64 * (1.0 - done) / done) as u64)
     }
 
-    /// Returns how much of the task's declared size is done.
-    pub fn work(&self) -> Micros {
-        Micros((self.size.0 as f64 * self.done()) as u64)
-    }
-
     /// Returns whether its task does better to begin again elsewhere.
     pub fn is_straggler(&self) -> bool {
         let late = self.left().0 as f64 > self.again().0 as f64 * GAIN;
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -5,13 +5,11 @@
 use chervilring_wire::{DomainName, Micros, Name, Queued, Resources, Time, UpstreamState};
 
 use super::health::Health;
-use super::speed::Speed;
 use crate::runs::bounds::patience_step;
 
 /// What is learnt of an upstream; it is kept while the link to it comes and goes.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Profile {
-    pub(super) speed: Speed,
     pub(super) health: Health,
     /// When it was last heard of.
     pub(super) seen: Time,
@@ -86,6 +84,12 @@
         self.number
     }
 
+    /// Returns its speed: one where tasks take what they declare.
+    pub(super) fn speed(&self) -> f64 {
+        let told = self.state.as_ref().map(|(s, _)| s.speed);
+        told.map_or(1.0, |permille| f64::from(permille) / 1_000.0)
+    }
+
     /// Returns whether it takes runs of a service.
     pub(super) fn does(&self, service: &str) -> bool {
         let open =
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -74,6 +74,7 @@
         let mut foreign = false;
         for row in &lists.active {
             if let Some(known) = self.runs.get_mut(&row.run) {
+                known.percent = row.percent;
                 let unsure = matches!(known.state, RunState::Unsure(_));
                 if unsure {
                     known.state = RunState::Running(now);
--- a/crates/chervilring_core/src/runs/runner/lives.rs
+++ b/crates/chervilring_core/src/runs/runner/lives.rs
@@ -3,16 +3,18 @@
 use chervilring_wire::{RunEnd, RunKey, Time};
 
 use super::event::RunnerEvent;
+use super::record::Record;
 use super::state::{RunState, Runner, RunnerStep};
 use super::worker::{Report, Worker, WorkerState};
+use crate::runs::speed::Speed;
 
 impl Runner {
     /// Takes in a report of the upstream; returns whether it is in force. Late ones of an earlier
     /// life are not.
     pub fn reported(&mut self, now: Time, report: Report) -> bool {
         let Some(worker) = &mut self.worker else {
-            self.steps.push(RunnerStep::Keep(report.clone()));
             self.begin_life(now, report);
+            self.keep_record(now);
             return true;
         };
         let life = &worker.report.life;
@@ -23,11 +25,11 @@
             // Under the id that is meant in calls the new life may have begun what was asked of
             // the old one.
             let same = report.life.id == life.id;
-            self.steps.push(RunnerStep::Keep(report.clone()));
             if !same {
                 self.end_life(now);
             }
             self.begin_life(now, report);
+            self.keep_record(now);
             if same {
                 self.carry_over(now);
             }
@@ -40,25 +42,31 @@
             worker.lease.read(now, clock);
         }
         // A next life of the runner must not use an upstream that is leaving.
-        if !worker.described || report.state != worker.report.state {
-            worker.described = true;
-            self.steps.push(RunnerStep::Keep(report.clone()));
-        }
+        let is_news = !worker.described || report.state != worker.report.state;
+        worker.described = true;
         worker.report = report;
+        if is_news {
+            self.keep_record(now);
+        }
         self.tick(now);
         true
     }
 
-    /// Takes in what an upstream had said to an earlier life of this runner. Its lists tell whether
-    /// that is still the same life.
-    pub fn recall(&mut self, now: Time, report: Report) {
-        if self.worker.is_some() {
+    /// Takes in what an earlier life of this runner knew of its upstream, and whether that upstream
+    /// still answers; its lists tell whether it is still the same life of it.
+    pub fn recall(&mut self, now: Time, record: Record, answers: bool) {
+        // The host is the same, whatever life has begun on it since.
+        if self.speed == Speed::default() {
+            self.speed = record.speed.faded();
+            self.kept_speed.0 = self.speed.permille();
+        }
+        if self.worker.is_some() || !answers {
             return;
         }
         let report = Report {
             sequence: 0,
             clock: None,
-            ..report
+            ..record.report
         };
         self.begin_life(now, report);
     }
@@ -67,7 +75,7 @@
     pub fn left(&mut self, now: Time, id: &str) {
         if let Some(worker) = self.worker.as_mut().filter(|w| &*w.report.life.id == id) {
             worker.report.state = WorkerState::Left;
-            self.steps.push(RunnerStep::Keep(worker.report.clone()));
+            self.keep_record(now);
         }
         self.tick(now);
     }
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod lists;
 mod lives;
+mod record;
 mod starts;
 mod state;
 mod stops;
@@ -18,6 +19,7 @@
 pub use dial::{Dial, Due, PLANNERS};
 pub use event::RunnerEvent;
 pub use lease::Lease;
+pub use record::Record;
 pub use state::{Runner, RunnerStep};
 pub use telling::{differs, grain};
 pub use worker::{Report, WorkerState};
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -35,6 +35,8 @@
             let row = Run {
                 link: Some(link),
                 demand: start.demand,
+                size: start.size,
+                percent: 0,
                 spec: start.spec.clone(),
                 state: RunState::Queued,
                 doomed: false,
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -10,9 +10,11 @@
 use super::call::{CallOutcome, WorkerCall};
 use super::event::RunnerEvent;
 use super::links::Link;
-use super::worker::{Report, Worker};
+use super::record::Record;
+use super::worker::Worker;
 use crate::runs::bounds::{RUN_GONE, patience_step};
 use crate::runs::planner::LinkNo;
+use crate::runs::speed::Speed;
 
 /// How long runs are assumed to take before the first has ended, in microseconds.
 const FIRST_SPAN: f64 = 150_000.0;
@@ -31,8 +33,8 @@
     Close(LinkNo),
     /// The upstream is to be called; the outcome is told by [`Runner::called`].
     Call(WorkerCall),
-    /// What the upstream says of this life is to be kept, for the next life of the runner.
-    Keep(Report),
+    /// What is known of the upstream is to be kept, for the next life of the runner.
+    Keep(Record),
     /// Something is to be logged.
     Log(RunnerEvent),
     /// The runner has nothing left to do and the process may end.
@@ -63,6 +65,10 @@
     /// The link of the planner that asked for it; none when that is lost or was told its end.
     pub(super) link: Option<LinkNo>,
     pub(super) demand: Resources,
+    /// How long it is declared to run.
+    pub(super) size: Micros,
+    /// How much of it the upstream has last said to be done, in percent.
+    pub(super) percent: u8,
     pub(super) spec: Name,
     pub(super) state: RunState,
     /// Whether it is to be stopped as soon as the start under way is answered.
@@ -93,6 +99,10 @@
     pub(super) open: bool,
     /// How long runs have taken of late, in microseconds.
     pub(super) span: f64,
+    /// How fast the upstream is.
+    pub(super) speed: Speed,
+    /// What was last kept of that, in thousandths, and when that may be done again.
+    pub(super) kept_speed: (u32, Time),
     /// When the lease of what an earlier life of this runner has started is surely over.
     pub(super) past: Time,
 }
@@ -115,6 +125,8 @@
             leaving: None,
             open: false,
             span: FIRST_SPAN,
+            speed: Speed::default(),
+            kept_speed: (Speed::default().permille(), now),
             past: now + RUN_GONE,
         }
     }
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -1,6 +1,6 @@
 //! Runs that are stopped or have ended.
 
-use chervilring_wire::{RefuseReason, RunEnd, RunKey, RunnerMessage, Time};
+use chervilring_wire::{Micros, RefuseReason, RunEnd, RunKey, RunnerMessage, Time};
 
 use super::call::{CallOutcome, Refused};
 use super::event::RunnerEvent;
@@ -9,6 +9,20 @@
 /// How much of the past is kept with each run in the mean time that runs take.
 const KEEP: f64 = 0.95;
 
+/// How long a run must have gone on before a stop for its pace to be telling.
+const TELLING: Micros = Micros::from_millis(250);
+
+/// The share that counts as done while nothing is.
+const LEAST_DONE: f64 = 0.005;
+
+impl Run {
+    /// Returns how much of its declared size is done.
+    fn worked(&self) -> Micros {
+        let done = (f64::from(self.percent) / 100.0).max(LEAST_DONE);
+        Micros((self.size.0 as f64 * done) as u64)
+    }
+}
+
 impl Runner {
     /// Has a run stopped.
     pub(super) fn stop(&mut self, run: RunKey) {
@@ -82,13 +96,19 @@
             _ => row.taken,
         };
         let span = now.since(since);
-        if end == RunEnd::Done {
-            self.span = self.span * KEEP + span.0 as f64 * (1.0 - KEEP);
+        match end {
+            RunEnd::Done => {
+                self.span = self.span * KEEP + span.0 as f64 * (1.0 - KEEP);
+                self.speed.learn(row.size, span);
+            }
+            // A run that is stopped for its pace tells of the upstream as well.
+            RunEnd::Stopped if span >= TELLING => self.speed.learn(row.worked(), span),
+            RunEnd::Stopped | RunEnd::Failed | RunEnd::Lapsed => {}
         }
         self.steps
             .push(RunnerStep::Log(RunnerEvent::Ended { run, end, span }));
         if let Some(link) = row.link {
-            let message = RunnerMessage::Ended { run, end, span };
+            let message = RunnerMessage::Ended { run, end };
             self.steps.push(RunnerStep::Send { link, message });
         }
     }
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -35,6 +35,7 @@
         self.part_links(now);
         self.start_queued(now);
         self.hold(now);
+        self.keep_speed(now);
         self.log_open();
         self.tell_states(now);
         self.check_leave(now);
@@ -227,7 +228,7 @@
             runs += 1;
             let end = RunEnd::Lapsed;
             let span = now.since(row.taken);
-            let message = RunnerMessage::Ended { run, end, span };
+            let message = RunnerMessage::Ended { run, end };
             self.steps.push(RunnerStep::Send { link, message });
             self.steps
                 .push(RunnerStep::Log(RunnerEvent::Ended { run, end, span }));
@@ -311,6 +312,7 @@
             free: self.free(),
             queued: self.queue(now),
             span: Micros::from_millis(self.span as u64 / 1_000),
+            speed: self.speed.permille(),
             labels: worker.report.labels.clone(),
         };
         let busy: FxHashSet<LinkNo> = self.steps.iter().filter_map(goes_to).collect();
--- a/crates/chervilring_core/src/runs/planner/speed.rs
+++ b/crates/chervilring_core/src/runs/speed.rs
@@ -1,6 +1,7 @@
 //! How fast an upstream is, learnt from the runs that it has done.
 
 use chervilring_wire::Micros;
+use serde::{Deserialize, Serialize};
 
 /// How much of the past is kept with each run.
 const KEEP: f64 = 0.96;
@@ -11,10 +12,16 @@
 /// The furthest that one run may be off, as a logarithm: declared sizes are rough.
 const FURTHEST: f64 = 2.5;
 
+/// The steps in which a speed is told, in thousandths.
+const STEP: u32 = 20;
+
+/// How many runs what is known of an earlier time counts for.
+const FADED: f64 = 10.0;
+
 /// The speed of an upstream: one where tasks take what they declare.
 ///
 /// The mean is taken over logarithms, so that a few wrong declarations move it little.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Speed {
     weight: f64,
     sum: f64,
@@ -37,8 +44,24 @@
         (self.sum / (self.weight + PRIOR)).exp()
     }
 
-    /// Returns how long a task of a declared size is expected to run.
-    pub fn run(&self, size: Micros) -> Micros {
-        Micros((size.0 as f64 / self.value()) as u64)
+    /// Returns the speed in thousandths, in steps: finer ones would change, and be told, with each
+    /// run.
+    pub fn permille(&self) -> u32 {
+        let value = self.value() * 1_000.0 / f64::from(STEP);
+        (value.round() as u32).max(1) * STEP
     }
+
+    /// Returns the same speed, to be learnt anew sooner: what is known may be of an earlier time.
+    pub fn faded(&self) -> Self {
+        let share = (FADED / self.weight).min(1.0);
+        Self {
+            weight: self.weight * share,
+            sum: self.sum * share,
+        }
+    }
+}
+
+/// Returns how long a task of a declared size is expected to run at a speed in thousandths.
+pub fn run_at(permille: u32, size: Micros) -> Micros {
+    Micros(size.0 * 1_000 / u64::from(permille.max(1)))
 }
--- a/crates/chervilring_core/tests/runs/order.rs
+++ b/crates/chervilring_core/tests/runs/order.rs
@@ -206,3 +206,49 @@
     let told = world.states;
     assert!(told <= most, "{told} states for {} starts", world.starts);
 }
+
+/// Plays long jobs before and after processes are lost; returns the share in time of those that come
+/// in the second after the planners are back.
+fn in_time_after(seed: u64, lose: impl Fn(&mut World)) -> f64 {
+    let mut world = started(seed);
+    load(&mut world, 1_000, 3, diagnosis);
+    world.run(LOAD);
+    lose(&mut world);
+    world.run(3_000_000);
+    let back = world.now;
+    let all: Vec<usize> = (0..6)
+        .map(|i| world.want(i * 160_000, diagnosis(5_000 + i)))
+        .collect();
+    world.run(LOAD);
+    assert!(world.planners_back < back);
+    in_time(&world, &all)
+}
+
+#[test]
+fn planners_that_start_again_know_which_upstreams_are_slow() {
+    let shares = (20..30).map(|seed| {
+        in_time_after(seed, |world| {
+            for planner in 0..3 {
+                world.at(0, Happening::KillPlanner(planner));
+            }
+        })
+    });
+    let share = shares.sum::<f64>() / 10.0;
+    assert!(share >= 0.9, "{share:.3} in time");
+}
+
+#[test]
+fn when_all_processes_start_again_it_is_known_which_upstreams_are_slow() {
+    let shares = (20..30).map(|seed| {
+        in_time_after(seed, |world| {
+            for planner in 0..3 {
+                world.at(0, Happening::KillPlanner(planner));
+            }
+            for runner in 0..4 {
+                world.at(0, Happening::KillRunner(runner));
+            }
+        })
+    });
+    let share = shares.sum::<f64>() / 10.0;
+    assert!(share >= 0.9, "{share:.3} in time");
+}
--- a/crates/chervilring_core/tests/runs/unfit.rs
+++ b/crates/chervilring_core/tests/runs/unfit.rs
@@ -39,6 +39,7 @@
             free: amount(8_000),
             queued: Vec::new(),
             span: Micros::from_millis(100),
+            speed: 1_000,
             labels: vec![Name::from(rack)],
         };
         planner.message(NOW, LinkNo(link), RunnerMessage::State(state));
@@ -140,6 +141,7 @@
         free: amount(0),
         queued: Vec::new(),
         span: Micros::from_millis(300),
+        speed: 1_000,
         labels: vec![Name::from("r1")],
     };
     planner.message(NOW, LinkNo(1), RunnerMessage::State(state));
--- a/crates/chervilring_core/tests/runs/units.rs
+++ b/crates/chervilring_core/tests/runs/units.rs
@@ -1,7 +1,8 @@
 //! The units of the decisions: holding, order, speed, health, lease.
 
-use chervilring_core::runs::planner::{Health, Hold, Pace, Resends, Sending, Speed, hold, urgency};
+use chervilring_core::runs::planner::{Health, Hold, Pace, Resends, Sending, hold, urgency};
 use chervilring_core::runs::runner::{Lease, differs, grain};
+use chervilring_core::runs::{Speed, run_at};
 use chervilring_wire::{Micros, Queued, Resources, Time, UpstreamState};
 use quickcheck::{TestResult, quickcheck};
 
@@ -59,19 +60,24 @@
     }
 }
 
+/// Returns how long a task of a tenth of a second runs, in milliseconds.
+fn span_at(speed: &Speed) -> u64 {
+    run_at(speed.permille(), MS(100)).as_millis()
+}
+
 #[test]
 fn speed_follows_what_runs_take() {
     let mut speed = Speed::default();
-    assert_eq!(speed.run(MS(100)), MS(100));
+    assert_eq!(span_at(&speed), 100);
     for _ in 0..60 {
         speed.learn(MS(100), MS(200));
     }
-    let run = speed.run(MS(100)).as_millis();
+    let run = span_at(&speed);
     assert!((185..=205).contains(&run), "{run} ms");
     for _ in 0..60 {
         speed.learn(MS(100), MS(50));
     }
-    let run = speed.run(MS(100)).as_millis();
+    let run = span_at(&speed);
     assert!((45..=60).contains(&run), "{run} ms");
 }
 
@@ -82,7 +88,7 @@
         speed.learn(MS(100), MS(100));
     }
     speed.learn(MS(1), MS(10_000));
-    assert!(speed.run(MS(100)) < MS(130));
+    assert!(span_at(&speed) < 130);
 }
 
 #[test]
@@ -211,6 +217,7 @@
         free: cores(free),
         queued: Vec::new(),
         span: MS(100),
+        speed: 1_000,
         labels: Vec::new(),
     }
 }
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use chervilring_core::runs::planner::Caller;
-use chervilring_core::runs::runner::{CallOutcome, WorkerCall};
+use chervilring_core::runs::runner::{CallOutcome, Record, WorkerCall};
 use chervilring_core::runs::{Planner, Runner};
 use chervilring_wire::Time;
 
@@ -111,6 +111,8 @@
     /// When a planner was last started.
     pub(crate) planners_back: Time,
     runners: Vec<Process<Runner>>,
+    /// What runners have had kept, by their place.
+    kept: BTreeMap<usize, Record>,
     links: BTreeMap<u64, Link>,
     cuts: Vec<(usize, usize, Way, Time)>,
     queue: BinaryHeap<Reverse<(Time, u64, usize)>>,
@@ -154,6 +156,7 @@
             planners: Vec::new(),
             planners_back: Time::default(),
             runners: Vec::new(),
+            kept: BTreeMap::new(),
             links: BTreeMap::new(),
             cuts: Vec::new(),
             queue: BinaryHeap::new(),
--- a/crates/chervilring_core/tests/runs/world/processes.rs
+++ b/crates/chervilring_core/tests/runs/world/processes.rs
@@ -61,6 +61,9 @@
         if row.life == 1 {
             self.at(TICK + r as u64, Happening::TickRunner(r));
         }
+        if let Some(record) = self.kept.get(&r).cloned() {
+            self.wake_runner(r, |core, now| core.recall(now, record, true));
+        }
     }
 
     pub(super) fn kill_planner(&mut self, p: usize) {
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -44,7 +44,10 @@
             RunnerStep::Close(link) => self.send(link.0, Packet::EndAtPlanner),
             RunnerStep::Call(call) => self.call(r, call),
             RunnerStep::Log(event) => self.note(&format!("runner {r}: {event:?}")),
-            RunnerStep::Left | RunnerStep::Keep(_) => {}
+            RunnerStep::Keep(record) => {
+                self.kept.insert(r, record);
+            }
+            RunnerStep::Left => {}
         }
     }
 
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -189,7 +189,7 @@
         for event in events {
             match event {
                 Told::Store(StoreEvent::Config(copy)) => self.take_config(copy, "store"),
-                Told::Store(StoreEvent::Members(_) | StoreEvent::Recalled(_)) => {}
+                Told::Store(StoreEvent::Members(_) | StoreEvent::Recalled(..)) => {}
                 Told::Store(StoreEvent::Reached(error)) => told::log_store(&self.parts.log, error),
                 Told::Asked(Asked::Stop) => self.stop(),
                 Told::Asked(Asked::Reload) => {
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use chervilring_core::runs::runner::Report;
+use chervilring_core::runs::runner::Record;
 use chervilring_store::{Pair, StoreError};
 use chervilring_wire::{ConfigCopy, Micros};
 use slog::{Logger, warn};
@@ -67,8 +67,8 @@
     Config(ConfigCopy),
     /// The planners' addresses were read.
     Members(Vec<SocketAddr>),
-    /// What the upstream of the runner had said to an earlier life of it.
-    Recalled(Report),
+    /// What an earlier life of the runner knew of its upstream, and whether that still answers.
+    Recalled(Record, bool),
     /// The store answers again, or no more, and why.
     Reached(Option<StoreError>),
 }
@@ -134,7 +134,7 @@
 }
 
 /// Reads what the upstream of a runner had last said, if that can be had.
-pub(super) fn recall(registry: &Registry, name: &str, log: &Logger) -> Option<Report> {
+pub(super) fn recall(registry: &Registry, name: &str, log: &Logger) -> Option<Record> {
     let key = format!("{UPSTREAMS}{name}");
     // An old copy may say of an upstream that has left that it takes work.
     let pair = match (registry.get)(&key) {
@@ -154,7 +154,7 @@
 }
 
 /// Keeps what the upstream of a runner says, the newest of what waits, on a thread of its own.
-pub(super) fn keep_reports(registry: Registry, name: &str, reports: Receiver<Report>, log: Logger) {
+pub(super) fn keep_reports(registry: Registry, name: &str, reports: Receiver<Record>, log: Logger) {
     let key = format!("{UPSTREAMS}{name}");
     spawn("store-upstream", move || {
         while let Ok(mut report) = reports.recv() {
@@ -170,8 +170,8 @@
     });
 }
 
-fn keep_report(registry: &Registry, key: &str, report: &Report) -> Result<(), StoreError> {
-    let bytes = postcard::to_stdvec(report);
+fn keep_report(registry: &Registry, key: &str, record: &Record) -> Result<(), StoreError> {
+    let bytes = postcard::to_stdvec(record);
     let bytes = bytes.map_err(|e| StoreError::Invalid(e.to_string()))?;
     (registry.put)(key, &bytes, NO_LEASE)
 }
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -6,7 +6,7 @@
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_core::runs::runner::{Dial, Due, Report, RunnerStep};
+use chervilring_core::runs::runner::{Dial, Due, Record, RunnerStep};
 use chervilring_wire::{PlannerMessage, Time};
 use slog::{Logger, info, warn};
 use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
@@ -41,7 +41,7 @@
     links: Links,
     dial: Dial,
     calls: Calls,
-    keep: Sender<Report>,
+    keep: Sender<Record>,
     report: RunnerReport,
     config: RunnerConfig,
     log: Logger,
@@ -145,9 +145,10 @@
     let (registry, dialect) = (registry.clone(), dialect.clone());
     let (name, log) = (config.name.clone(), log.clone());
     let work = move || {
-        let report = registry::recall(&registry, &name, &log);
-        if let Some(report) = report.filter(|r| (dialect.healthy)(&r.life)) {
-            tell.push(Told::Store(StoreEvent::Recalled(report)));
+        let record = registry::recall(&registry, &name, &log);
+        if let Some(record) = record {
+            let answers = (dialect.healthy)(&record.report.life);
+            tell.push(Told::Store(StoreEvent::Recalled(record, answers)));
         }
     };
     thread::Builder::new().name("recall".into()).spawn(work)?;
@@ -197,10 +198,12 @@
                 Told::Store(StoreEvent::Config(_)) => {}
                 Told::Store(StoreEvent::Members(addrs)) => self.parts.dial.set_listed(now, &addrs),
                 Told::Store(StoreEvent::Reached(error)) => told::log_store(&self.parts.log, error),
-                Told::Store(StoreEvent::Recalled(report)) => {
-                    info!(self.parts.log, "upstream recalled"; "upstream" => &*report.life.id,
-                        "born_ms" => report.life.born);
-                    self.parts.runner.recall(now, report);
+                Told::Store(StoreEvent::Recalled(record, answers)) => {
+                    let life = &record.report.life;
+                    info!(self.parts.log, "upstream recalled"; "upstream" => &*life.id,
+                        "born_ms" => life.born, "speed" => record.speed.value(),
+                        "answers" => answers);
+                    self.parts.runner.recall(now, record, answers);
                 }
                 Told::Asked(Asked::Stop) => {
                     info!(self.parts.log, "stopping"; "runs" => self.parts.runner.runs());
@@ -358,8 +361,8 @@
                     self.parts.dial.closed(now, link);
                 }
                 RunnerStep::Call(call) => self.parts.calls.start(call),
-                RunnerStep::Keep(report) => {
-                    if self.parts.keep.send(report).is_err() {
+                RunnerStep::Keep(record) => {
+                    if self.parts.keep.send(record).is_err() {
                         warn!(self.parts.log, "upstream not kept: its thread has ended");
                     }
                 }
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -135,6 +135,8 @@
     pub spec: Name,
     /// What each of the runs takes.
     pub demand: Resources,
+    /// How long each is declared to run.
+    pub size: Micros,
     /// How long it is of use to wait for room; a span, as clocks are not compared between hosts.
     pub patience: Micros,
     /// The runs.
@@ -178,8 +180,6 @@
         run: RunKey,
         /// How.
         end: RunEnd,
-        /// How long it ran.
-        span: Micros,
     },
     /// How far runs have got.
     Progress(Vec<Progressed>),
@@ -202,6 +202,8 @@
     pub queued: Vec<Queued>,
     /// How long runs have taken of late, in whole milliseconds.
     pub span: Micros,
+    /// How fast tasks run there, in thousandths of what they declare.
+    pub speed: u32,
     /// The labels of the worker; its rack is one of them.
     pub labels: Vec<Name>,
 }
