--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -5,6 +5,7 @@
 mod ends;
 mod event;
 mod health;
+mod hearing;
 mod job;
 mod links;
 mod order;
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -4,6 +4,7 @@
 mod dial;
 mod event;
 mod lease;
+mod linking;
 mod links;
 mod lists;
 mod lives;
