--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -8,9 +8,6 @@
 use super::worker::Contact;
 use crate::runs::planner::LinkNo;
 
-/// How soon the upstream is asked again after a call that got no answer.
-const RETRY: Micros = Micros::from_millis(10);
-
 /// How often planners are told how far runs have got.
 const PROGRESS: Micros = Micros::from_millis(100);
 
@@ -31,6 +28,7 @@
                     return;
                 }
                 worker.contact = Contact::Well;
+                worker.misses = 0;
                 self.take_lists(now, sent, &lists);
             }
             CallOutcome::Refused {
@@ -38,7 +36,7 @@
                 ..
             } => self.raise_fence(),
             _ => {
-                worker.retry = now + RETRY;
+                worker.missed(now);
                 if worker.contact == Contact::Well {
                     worker.contact = Contact::Missed;
                     self.log_no_answer(None, "hold");
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -9,6 +9,7 @@
 mod lists;
 mod lives;
 mod record;
+mod repeats;
 mod starts;
 mod state;
 mod stops;
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -9,7 +9,6 @@
 use super::call::{CallOutcome, Refused};
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
-use super::worker::WorkerState;
 use crate::runs::planner::LinkNo;
 
 impl Runner {
@@ -42,6 +41,7 @@
                 doomed: false,
                 taken: now,
                 latest,
+                again: None,
             };
             self.runs.insert(run, row);
         }
@@ -149,7 +149,13 @@
         (!holds).then_some(RefuseReason::Room)
     }
 
-    pub(super) fn start_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
+    pub(super) fn start_answered(
+        &mut self,
+        now: Time,
+        sent: Time,
+        run: RunKey,
+        outcome: &CallOutcome,
+    ) {
         let Some(row) = self.runs.get_mut(&run) else {
             return;
         };
@@ -169,19 +175,7 @@
                 }
             }
             CallOutcome::Refused { why, .. } => self.start_refused(now, run, *why),
-            CallOutcome::Lost => {
-                self.log_no_answer(Some(run), "start");
-                let drains = self
-                    .worker
-                    .as_ref()
-                    .is_none_or(|w| w.report.state != WorkerState::Ready);
-                if row_doomed(&self.runs, &run) || drains {
-                    self.set_state(run, RunState::Stopping);
-                    self.call_stop(run);
-                } else {
-                    self.call_start(now, run);
-                }
-            }
+            CallOutcome::Lost => self.put_off(sent, run, "start"),
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -77,6 +77,8 @@
     pub(super) taken: Time,
     /// Until when it is of use to start it.
     pub(super) latest: Time,
+    /// When the upstream, if it answers by then, is asked again what it did not answer.
+    pub(super) again: Option<Time>,
 }
 
 /// The decisions of a runner.
@@ -214,8 +216,8 @@
         }
         self.read_clock(now, &outcome);
         match call {
-            WorkerCall::Start { run, .. } => self.start_answered(now, *run, &outcome),
-            WorkerCall::Stop { run, .. } => self.stop_answered(now, *run, &outcome),
+            WorkerCall::Start { run, .. } => self.start_answered(now, sent, *run, &outcome),
+            WorkerCall::Stop { run, .. } => self.stop_answered(now, sent, *run, &outcome),
             WorkerCall::Hold { .. } => self.hold_answered(now, sent, outcome),
         }
     }
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -51,7 +51,13 @@
         self.refuse(run, link, RefuseReason::Stopped);
     }
 
-    pub(super) fn stop_answered(&mut self, now: Time, run: RunKey, outcome: &CallOutcome) {
+    pub(super) fn stop_answered(
+        &mut self,
+        now: Time,
+        sent: Time,
+        run: RunKey,
+        outcome: &CallOutcome,
+    ) {
         let stopping = self
             .runs
             .get(&run)
@@ -60,10 +66,7 @@
             return;
         }
         match outcome {
-            CallOutcome::Lost => {
-                self.log_no_answer(Some(run), "stop");
-                self.call_stop(run);
-            }
+            CallOutcome::Lost => self.put_off(sent, run, "stop"),
             CallOutcome::Refused {
                 why: Refused::Fence,
                 ..
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -30,6 +30,7 @@
         self.check_lease(now);
         self.greet_links(now);
         self.part_links(now);
+        self.repeat_calls(now);
         self.start_queued(now);
         self.hold(now);
         self.keep_speed(now);
@@ -40,7 +41,7 @@
 
     /// Returns when something is due.
     pub fn wake_at(&self) -> Time {
-        let mut wake = Time::NEVER;
+        let mut wake = self.repeat_at();
         for row in self.links.values().filter(|l| l.greeted) {
             wake = wake.min(row.alive + Micros(1));
             wake = wake.min(row.parting.unwrap_or(Time::NEVER));
--- a/crates/chervilring_core/src/runs/runner/worker.rs
+++ b/crates/chervilring_core/src/runs/runner/worker.rs
@@ -68,6 +68,8 @@
     pub(super) held: bool,
     /// When to ask for the lists again after a call that got no answer.
     pub(super) retry: Time,
+    /// How many calls for its lists have got no answer since the last one that did.
+    pub(super) misses: u32,
     /// Whether what is known of it was said of this life.
     pub(super) described: bool,
 }
@@ -83,6 +85,7 @@
             heard: Time::default(),
             held: false,
             retry: Time::default(),
+            misses: 0,
             described: true,
         }
     }
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -3,6 +3,7 @@
 mod beliefs;
 mod copies;
 mod dial;
+mod down;
 mod focused;
 mod order;
 mod placing;
