Runners wait for the list of planners before they dial seeds; links read into small buffers

Ruled out: growth by jobs (the middle planner has 9.3 MB). Now seeds are dialled half a second after the start if no list has come, the list is read five times in the first second, and a link's buffer begins at 8 KB.

--- a/crates/chervilring_core/src/runs/runner/dial.rs
+++ b/crates/chervilring_core/src/runs/runner/dial.rs
@@ -30,6 +30,10 @@
 /// How long a connection may take to come about.
 const DIAL_TIME: Micros = Micros::from_millis(200);
 
+/// How long the list of planners is waited for before the seeds are dialled: all runners have the
+/// same few, which are not to be linked to all of them.
+const SEED_WAIT: Micros = Micros::from_millis(500);
+
 /// How long is waited where the runner is not ready to greet.
 const NOT_READY: Micros = Micros::from_millis(10);
 
@@ -85,14 +89,17 @@
 pub struct Dial {
     runner: Name,
     targets: BTreeMap<SocketAddr, Target>,
+    /// Until when seeds are not dialled, as a list may come.
+    held: Option<Time>,
 }
 
 impl Dial {
     /// Creates a table for a runner of a name, without addresses.
-    pub fn new(runner: Name) -> Self {
+    pub fn new(runner: Name, now: Time) -> Self {
         Self {
             runner,
             targets: BTreeMap::new(),
+            held: Some(now + SEED_WAIT),
         }
     }
 
@@ -111,6 +118,7 @@
     pub fn set_listed(&mut self, now: Time, addrs: &[SocketAddr]) {
         for &addr in addrs {
             self.target(now, addr).listed = now;
+            self.held = None;
         }
         let kept =
             |t: &Target| t.seed || t.link != LinkState::None || now.since(t.listed) < UNLISTED;
@@ -121,6 +129,10 @@
     /// Returns what is due. Nothing is dialled, and nothing given up, while the runner is not `ready`
     /// to greet planners.
     pub fn due(&mut self, now: Time, ready: bool) -> Vec<Due> {
+        if self.held.is_some_and(|until| until <= now) {
+            self.held = None;
+            self.choose(now);
+        }
         let mut rows = Vec::new();
         for (&addr, target) in &mut self.targets {
             match target.link {
@@ -145,7 +157,8 @@
             LinkState::Up(_) => t.surplus,
             LinkState::Parting(_) => Time::NEVER,
         });
-        due.min().unwrap_or(Time::NEVER)
+        let due = due.min().unwrap_or(Time::NEVER);
+        due.min(self.held.unwrap_or(Time::NEVER))
     }
 
     /// Takes note of a link that is being opened.
@@ -211,6 +224,9 @@
     /// Settles which addresses are to be linked: the first ones in order, with one more for each
     /// that could not be reached.
     fn choose(&mut self, now: Time) {
+        if self.held.is_some() {
+            return;
+        }
         let mut order: Vec<&mut Target> = self.targets.values_mut().collect();
         order.sort_unstable_by_key(|t| t.rank);
         let mut sound = 0;
--- a/crates/chervilring_core/tests/runs/dial.rs
+++ b/crates/chervilring_core/tests/runs/dial.rs
@@ -33,7 +33,7 @@
 
 impl Runner {
     fn new(number: u32, planners: u16) -> Self {
-        let mut dial = Dial::new(format!("side-{number}").as_str().into());
+        let mut dial = Dial::new(format!("side-{number}").as_str().into(), Time(0));
         dial.set_listed(Time(0), &addrs(planners));
         Self {
             dial,
@@ -200,10 +200,24 @@
 
 #[test]
 fn nothing_is_dialled_before_planners_may_be_greeted() {
-    let mut dial = Dial::new("side-1".into());
+    let mut dial = Dial::new("side-1".into(), Time(0));
     dial.set_listed(Time(0), &addrs(3));
     assert_eq!(dial.due(Time(SECOND), false), []);
     assert!(dial.wake_at() > Time(SECOND));
     let later = Time(SECOND + 10_000);
     assert_eq!(dial.due(later, true).len(), 3);
 }
+
+#[test]
+fn seeds_are_dialled_only_when_no_list_comes() {
+    let seeds = addrs(3);
+    let mut dial = Dial::new("side-1".into(), Time(0));
+    dial.set_seeds(Time(0), &seeds);
+    assert_eq!(dial.due(Time(100_000), true), []);
+    assert!(dial.wake_at() <= Time(SECOND));
+    assert_eq!(dial.due(Time(SECOND), true).len(), 3);
+    let mut dial = Dial::new("side-1".into(), Time(0));
+    dial.set_seeds(Time(0), &seeds);
+    dial.set_listed(Time(100_000), &addrs(35));
+    assert_eq!(dial.due(Time(100_000), true).len(), PLANNERS);
+}
--- a/crates/chervilring_daemon/src/net/link.rs
+++ b/crates/chervilring_daemon/src/net/link.rs
@@ -8,8 +8,8 @@
 
 use super::links::LinkState;
 
-/// How much one read takes from the system, in bytes.
-const READ_CHUNK: usize = 64 << 10;
+/// How much one read takes from the system, in bytes. Each link keeps a buffer of this size.
+const READ_CHUNK: usize = 8 << 10;
 
 /// How much is read before the frames are handed on, in bytes.
 const READ_BATCH: usize = 1 << 20;
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -21,6 +21,13 @@
 /// Time between looks at the planners' addresses.
 const MEMBER_POLL: Duration = Duration::from_secs(1);
 
+/// Time between the first looks at them, while planners that start at the same time list
+/// themselves.
+const EARLY_POLL: Duration = Duration::from_millis(200);
+
+/// How many looks count as the first ones.
+const EARLY_ROUNDS: u32 = 4;
+
 /// How long an address stays listed after its planner was lost.
 const MEMBER_TTL: Micros = Micros::from_secs(10);
 
@@ -119,7 +126,7 @@
 pub(super) fn follow_members(registry: Registry, tell: impl Fn(StoreEvent) + Send + 'static) {
     let mut well = true;
     spawn("store-member", move || {
-        loop {
+        for round in 0_u32.. {
             match (registry.list)(MEMBERS) {
                 Ok(pairs) => {
                     report(&mut well, None, &tell);
@@ -128,7 +135,8 @@
                 }
                 Err(error) => report(&mut well, Some(error), &tell),
             }
-            thread::sleep(MEMBER_POLL);
+            let is_early = round < EARLY_ROUNDS;
+            thread::sleep(if is_early { EARLY_POLL } else { MEMBER_POLL });
         }
     });
 }
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -108,7 +108,7 @@
     let fence = clock.now().wall.0;
     let time = clock.time();
     let name = config.name.clone();
-    let mut dial = Dial::new(name.clone());
+    let mut dial = Dial::new(name.clone(), time);
     let runner = Runner::new(name, config.domain.clone(), config.lease, fence, time);
     dial.set_seeds(time, &seeds(&config));
     let parts = Parts {
