What is kept of an upstream is written under the revision that it replaces

Cause: a write to the store whose answer is lost may be done seconds later. The record that an upstream takes work could then overwrite the newer one that it leaves, and a runner restarted after that would use it. Ruled out: reads (they are past any cache already); the list of planners (a late write there names a lease that has ended, or the same address). Before: with the condition left out the new test reads Ready after Draining. After: Draining. Conclusion: a read more after a lost answer and at the first write of a life.

--- a/crates/chervilring_daemon/src/runs/mod.rs
+++ b/crates/chervilring_daemon/src/runs/mod.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod dialect;
+mod keeper;
 mod pause;
 mod planner;
 mod planner_log;
@@ -15,6 +16,8 @@
 mod runner_log;
 mod runner_report;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod times;
 mod told;
 
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -6,14 +6,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
 
 use chervilring_core::runs::runner::Record;
 use chervilring_store::{Pair, StoreError};
 use chervilring_wire::{ConfigCopy, Micros};
-use slog::{Logger, warn};
 
 /// Time between reads of the configuration: it is to be in force within two seconds.
 const CONFIG_POLL: Duration = Duration::from_millis(500);
@@ -37,15 +35,10 @@
 /// The prefix of the keys under which planners list their addresses.
 const MEMBERS: &str = "planners/";
 
-/// The prefix of the keys under which runners keep what their upstreams have said.
-const UPSTREAMS: &str = "upstreams/";
-
-/// The lease of keys that are kept for good.
-const NO_LEASE: u64 = 0;
-
 type GetConfig = dyn Fn() -> Result<Option<(u64, Pair)>, StoreError> + Send + Sync;
 type Get = dyn Fn(&str) -> Result<Option<Pair>, StoreError> + Send + Sync;
 type List = dyn Fn(&str) -> Result<Vec<Pair>, StoreError> + Send + Sync;
+type Replace = dyn Fn(&str, &[u8], u64) -> Result<Option<u64>, StoreError> + Send + Sync;
 type Put = dyn Fn(&str, &[u8], u64) -> Result<(), StoreError> + Send + Sync;
 type Grant = dyn Fn(Micros) -> Result<u64, StoreError> + Send + Sync;
 type Renew = dyn Fn(u64) -> Result<bool, StoreError> + Send + Sync;
@@ -59,6 +52,9 @@
     pub get: Arc<Get>,
     /// Reads the keys with a prefix, which may be some seconds old.
     pub list: Arc<List>,
+    /// Writes a key for good if its revision, zero for none, is the one given; returns the new one, or
+    /// none where it was another.
+    pub replace: Arc<Replace>,
     /// Writes a key under a lease.
     pub put: Arc<Put>,
     /// Makes a lease.
@@ -141,49 +137,6 @@
     });
 }
 
-/// Reads what the upstream of a runner had last said, if that can be had.
-pub(super) fn recall(registry: &Registry, name: &str, log: &Logger) -> Option<Record> {
-    let key = format!("{UPSTREAMS}{name}");
-    // An old copy may say of an upstream that has left that it takes work.
-    let pair = match (registry.get)(&key) {
-        Ok(pair) => pair?,
-        Err(error) => {
-            warn!(log, "upstream not recalled"; "error" => %error);
-            return None;
-        }
-    };
-    match postcard::from_bytes(&pair.value) {
-        Ok(report) => Some(report),
-        Err(error) => {
-            warn!(log, "upstream not recalled"; "error" => %error);
-            None
-        }
-    }
-}
-
-/// Keeps what the upstream of a runner says, the newest of what waits, on a thread of its own.
-pub(super) fn keep_reports(registry: Registry, name: &str, reports: Receiver<Record>, log: Logger) {
-    let key = format!("{UPSTREAMS}{name}");
-    spawn("store-upstream", move || {
-        while let Ok(mut report) = reports.recv() {
-            loop {
-                report = reports.try_iter().last().unwrap_or(report);
-                match keep_report(&registry, &key, &report) {
-                    Ok(()) => break,
-                    Err(error) => warn!(log, "upstream not kept, trying again"; "error" => %error),
-                }
-                thread::sleep(MEMBER_POLL);
-            }
-        }
-    });
-}
-
-fn keep_report(registry: &Registry, key: &str, record: &Record) -> Result<(), StoreError> {
-    let bytes = postcard::to_stdvec(record);
-    let bytes = bytes.map_err(|e| StoreError::Invalid(e.to_string()))?;
-    (registry.put)(key, &bytes, NO_LEASE)
-}
-
 /// Renews the lease when that is due, and writes the key where it is missing: a lease that is
 /// renewed does not prove that its key is still there.
 fn list_once(
@@ -227,7 +180,7 @@
     tell(StoreEvent::Reached(error));
 }
 
-fn spawn(name: &str, work: impl FnOnce() + Send + 'static) {
+pub(super) fn spawn(name: &str, work: impl FnOnce() + Send + 'static) {
     let spawned = thread::Builder::new().name(name.to_owned()).spawn(work);
     if let Err(error) = spawned {
         // Without the thread the process knows nothing: it is better started anew.
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -13,6 +13,7 @@
 
 use super::calls::{Called, Calls};
 use super::dialect::{WorkerDialect, WorkerNotice};
+use super::keeper;
 use super::pause::PauseWatch;
 use super::ports;
 use super::registry::{self, Registry, StoreEvent};
@@ -99,7 +100,7 @@
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "reports" => %config.reports,
         "domain" => %config.domain);
     let (keep, kept) = mpsc::channel();
-    registry::keep_reports(registry.clone(), &config.name, kept, log.clone());
+    keeper::keep_records(registry.clone(), &config.name, kept, log.clone());
     recall(&inbox, &registry, &dialect, &config, &log)?;
     let tell = inbox.clone();
     registry::follow_members(registry, move |event| tell.push(Told::Store(event)));
@@ -145,7 +146,7 @@
     let (registry, dialect) = (registry.clone(), dialect.clone());
     let (name, log) = (config.name.clone(), log.clone());
     let work = move || {
-        let record = registry::recall(&registry, &name, &log);
+        let record = keeper::recall(&registry, &name, &log);
         if let Some(record) = record {
             let answers = (dialect.healthy)(&record.report.life);
             tell.push(Told::Store(StoreEvent::Recalled(record, answers)));
