--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -16,9 +16,6 @@
 /// Time between reads of the configuration: it is to be in force within two seconds.
 const CONFIG_POLL: Duration = Duration::from_millis(500);
 
-/// Time between reads that bring an error, while there is no configuration: nothing is served before.
-const FIRST_POLL: Duration = Duration::from_millis(50);
-
 /// Time between looks at the planners' addresses.
 const MEMBER_POLL: Duration = Duration::from_secs(1);
 
@@ -97,8 +94,7 @@
                 Ok(None) => report(&mut well, None, &tell),
                 Err(error) => report(&mut well, Some(error), &tell),
             }
-            let is_urgent = last.is_none() && !well;
-            thread::sleep(if is_urgent { FIRST_POLL } else { CONFIG_POLL });
+            thread::sleep(CONFIG_POLL);
         }
     });
 }
