--- a/crates/chervilring_core/src/runs/runner/linking.rs
+++ b/crates/chervilring_core/src/runs/runner/link_systems.rs
@@ -86,7 +86,7 @@
             if !is_due || busy.contains(&link) {
                 continue;
             }
-            row.put_off(now);
+            row.await_quiet(now);
             let message = RunnerMessage::Part;
             self.steps.push(RunnerStep::Send { link, message });
         }
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -52,7 +52,7 @@
     }
 
     /// Takes in that starts have come over it, or that it is not needed any more.
-    pub(super) fn put_off(&mut self, now: Time) {
+    pub(super) fn await_quiet(&mut self, now: Time) {
         self.parting = Some(now + QUIET);
     }
 
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -4,7 +4,7 @@
 mod dial;
 mod event;
 mod lease;
-mod linking;
+mod link_systems;
 mod links;
 mod lists;
 mod lives;
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -19,7 +19,7 @@
         };
         row.number = start.number;
         if row.parting.is_some() {
-            row.put_off(now);
+            row.await_quiet(now);
         }
         let free = self.free();
         let latest = now + start.patience;
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -149,7 +149,7 @@
     /// asked to close it once nothing runs.
     pub fn part(&mut self, now: Time, link: LinkNo) {
         if let Some(row) = self.links.get_mut(&link) {
-            row.put_off(now);
+            row.await_quiet(now);
         }
         self.tick(now);
     }
