Planner: reads of the first configuration overlap, so that one that hangs holds up none

Cause: after all processes are killed while the store takes calls and answers none, a read hangs for 0.7 s and the next follows half a second later; nothing is served before one is answered. Now a read is begun each tenth of a second while there is no configuration, at most eight under way. Test: a store that hangs for three reads; the test failed before (5 s).

--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -6,8 +6,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::mpsc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use chervilring_core::runs::runner::Record;
 use chervilring_store::{Pair, StoreError};
@@ -16,6 +17,13 @@
 /// Time between reads of the configuration: it is to be in force within two seconds.
 const CONFIG_POLL: Duration = Duration::from_millis(500);
 
+/// Time between reads that are begun while there is no configuration, whether the ones before have
+/// been answered or not.
+const FIRST_POLL: Duration = Duration::from_millis(100);
+
+/// Reads of the first configuration that are under way at once at most.
+const FIRST_READS: usize = 8;
+
 /// Time between looks at the planners' addresses.
 const MEMBER_POLL: Duration = Duration::from_secs(1);
 
@@ -78,27 +86,61 @@
 
 /// Follows the configuration on a thread of its own.
 pub(super) fn follow_config(registry: Registry, tell: impl Fn(StoreEvent) + Send + 'static) {
-    let mut last: Option<Pair> = None;
     let mut well = true;
     spawn("store-config", move || {
+        let (version, first) = first_config(&registry, &mut well, &tell);
+        let document = first.value.clone().into();
+        tell(StoreEvent::Config(ConfigCopy { version, document }));
+        let mut last = first;
         loop {
+            thread::sleep(CONFIG_POLL);
             match (registry.config)() {
                 Ok(Some((version, pair))) => {
                     report(&mut well, None, &tell);
-                    if last.as_ref().is_none_or(|l| l.value != pair.value) {
+                    if last.value != pair.value {
                         let document = pair.value.clone().into();
                         tell(StoreEvent::Config(ConfigCopy { version, document }));
-                        last = Some(pair);
+                        last = pair;
                     }
                 }
                 Ok(None) => report(&mut well, None, &tell),
                 Err(error) => report(&mut well, Some(error), &tell),
             }
-            thread::sleep(CONFIG_POLL);
         }
     });
 }
 
+/// Reads the configuration until there is one.
+///
+/// The load that this answers: all processes start while the store takes calls and answers none. A
+/// read that hangs must not hold up the one that the store would answer.
+fn first_config(registry: &Registry, well: &mut bool, tell: &impl Fn(StoreEvent)) -> (u64, Pair) {
+    let (ends, outcomes) = mpsc::channel();
+    let mut reads = 0;
+    loop {
+        if reads < FIRST_READS {
+            reads += 1;
+            let (config, ends) = (Arc::clone(&registry.config), ends.clone());
+            // Nobody listens any more once another read has brought it.
+            spawn("store-first", move || drop(ends.send(config())));
+        }
+        let next = Instant::now() + FIRST_POLL;
+        while let Ok(outcome) =
+            outcomes.recv_timeout(next.saturating_duration_since(Instant::now()))
+        {
+            reads -= 1;
+            match outcome {
+                Ok(Some(found)) => {
+                    report(well, None, tell);
+                    return found;
+                }
+                Ok(None) => report(well, None, tell),
+                Err(error) => report(well, Some(error), tell),
+            }
+        }
+    }
+}
+
 /// Keeps the address of a planner listed, on a thread of its own.
 pub(super) fn keep_listed(
     registry: Registry,
--- a/crates/chervilring_daemon/src/runs/tests.rs
+++ b/crates/chervilring_daemon/src/runs/tests.rs
@@ -1,6 +1,9 @@
-//! What a runner keeps in a store that loses answers.
+//! What is read from and kept in a store that loses answers.
 
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use chervilring_core::runs::Speed;
 use chervilring_core::runs::runner::{Record, Report, WorkerLife, WorkerState};
@@ -8,7 +11,7 @@
 use chervilring_wire::Resources;
 
 use super::keeper::Keeper;
-use super::registry::Registry;
+use super::registry::{Registry, StoreEvent, follow_config};
 
 /// A store of one key.
 #[derive(Default)]
@@ -117,3 +120,40 @@
         .expect("it is written");
     assert_eq!(store.lock().unwrap().state(), WorkerState::Left);
 }
+
+#[test]
+fn reads_that_hang_do_not_hold_up_the_first_configuration() {
+    /// How long the store leaves a read without answer, as long as such calls are waited for.
+    const HANG: Duration = Duration::from_secs(5);
+    let store = Arc::new(Mutex::new(Store::default()));
+    let calls = AtomicU32::new(0);
+    let config = move || {
+        if calls.fetch_add(1, Ordering::Relaxed) < 3 {
+            thread::sleep(HANG);
+            return Err(StoreError::Lost("no answer".into()));
+        }
+        let pair = Pair {
+            key: "config".into(),
+            value: b"routes".to_vec(),
+            revision: 1,
+            lease: 0,
+        };
+        Ok(Some((1, pair)))
+    };
+    let registry = Registry {
+        config: Arc::new(config),
+        ..registry(&store)
+    };
+    let (tell, told) = mpsc::channel();
+    let begin = Instant::now();
+    follow_config(registry, move |event| {
+        if matches!(event, StoreEvent::Config(_)) {
+            tell.send(()).expect("the test waits");
+        }
+    });
+    told.recv_timeout(HANG).expect("a configuration");
+    assert!(
+        begin.elapsed() < HANG,
+        "it was waited for a read that hangs"
+    );
+}
