Try: runs that wait are called back when another upstream has room

Hypothesis: near the capacity a run waits in the queue that was expected to be short, while another upstream has room first; binding it late saves refusals.

--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -11,6 +11,7 @@
 mod order;
 mod placement;
 mod placing;
+mod rebalance;
 mod resend;
 mod settings;
 mod settling;
