--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -29,15 +29,6 @@
         /// Upstreams that take work of its service.
         upstreams: usize,
     },
-    /// A run that waits at an upstream is called back, as another has room for it.
-    CalledBack {
-        /// The run.
-        run: RunKey,
-        /// The runner at which it waits.
-        from: Name,
-        /// The one whose upstream has room.
-        to: Name,
-    },
     /// A run ended otherwise than done, or was refused.
     RunLost {
         /// The run.
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -63,8 +63,6 @@
         link: LinkNo,
         /// When it was sent.
         at: Time,
-        /// Whether it may still wait for room there, as far as is known.
-        waits: bool,
     },
     /// It was told to stop, to be started elsewhere.
     Stopping(LinkNo),
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -1,9 +1,8 @@
 //! What runners tell a planner.
 
-use chervilring_wire::{RunKey, RunnerMessage, Time, UpstreamState};
+use chervilring_wire::{RunnerMessage, Time, UpstreamState};
 
 use super::event::{LossCause, PlannerEvent};
-use super::job::TaskState;
 use super::links::LinkNo;
 use super::state::{Planner, PlannerStep};
 use super::upstream::Upstream;
@@ -45,8 +44,10 @@
             RunnerMessage::Part => self.part(link),
             RunnerMessage::State(state) => self.set_state(now, link, state),
             RunnerMessage::Started(run) => {
-                if self.is_at(&run, link) {
-                    self.begun(now, run);
+                if let Some(&(no, _)) = self.runs.get(&run).filter(|_| self.is_at(&run, link)) {
+                    let job = self.jobs.get_mut(&no);
+                    job.map(|j| j.started.get_or_insert(now));
+                    self.settle(now, no);
                 }
             }
             RunnerMessage::Refused { run, reason } => {
@@ -66,20 +67,6 @@
         }
     }
 
-    /// Takes in that an upstream has begun a run.
-    fn begun(&mut self, now: Time, run: RunKey) {
-        let Some(&(no, place)) = self.runs.get(&run) else {
-            return;
-        };
-        if let Some(job) = self.jobs.get_mut(&no) {
-            job.started.get_or_insert(now);
-            if let TaskState::Sent { waits, .. } = &mut job.tasks[place].state {
-                *waits = false;
-            }
-        }
-        self.settle(now, no);
-    }
-
     fn greet(&mut self, now: Time, link: LinkNo, upstream: Upstream) {
         let event = PlannerEvent::LinkUp {
             runner: upstream.name.clone(),
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -11,7 +11,6 @@
 mod order;
 mod placement;
 mod placing;
-mod rebalance;
 mod resend;
 mod settings;
 mod settling;
--- a/crates/chervilring_core/src/runs/planner/placement.rs
+++ b/crates/chervilring_core/src/runs/planner/placement.rs
@@ -61,8 +61,8 @@
     let mut best: Option<(usize, f64)> = None;
     let mut hope = false;
     for (place, offer) in offers.iter().enumerate().filter(|(_, o)| o.open) {
-        hope = hope || ends(wish.now, Micros(0), offer.run) <= wish.objective;
-        let late = ends(wish.now, offer.wait, offer.run) > wish.objective;
+        hope = hope || ends(offer, Micros(0), wish) <= wish.objective;
+        let late = ends(offer, offer.wait, wish) > wish.objective;
         if offer.full || late || wish.now + offer.wait > wish.latest {
             continue;
         }
@@ -104,10 +104,10 @@
 /// How much a wait for room weighs, as a share of the time that is left.
 const WAIT_COST: f64 = 8.0;
 
-/// Returns when a task that is expected to run for `run` ends at the latest, after a wait.
-pub(super) fn ends(now: Time, wait: Micros, run: Micros) -> Time {
-    let reserve = Micros((run.0 as f64 * RESERVE) as u64);
-    now + wait + run + reserve + MARGIN
+/// Returns when a task ends at the latest there, after a wait.
+fn ends(offer: &Offer, wait: Micros, wish: &Wish) -> Time {
+    let reserve = Micros((offer.run.0 as f64 * RESERVE) as u64);
+    wish.now + wait + offer.run + reserve + MARGIN
 }
 
 /// Returns how well a task is placed there.
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -240,7 +240,6 @@
                 row.state = TaskState::Sent {
                     link: place.link,
                     at: now,
-                    waits: true,
                 };
                 took = took.plus(&demand);
                 let run = job.run(task);
@@ -285,7 +284,7 @@
 }
 
 /// Returns whether an upstream could run a task of a step if nothing else ran there.
-pub(super) fn could_run(state: &UpstreamState, step: &Step) -> bool {
+fn could_run(state: &UpstreamState, step: &Step) -> bool {
     let labelled = step.label.as_ref().is_none_or(|l| state.labels.contains(l));
     labelled && state.capacity.holds(&step.demand)
 }
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -92,7 +92,6 @@
         for (_, _, no) in order {
             self.place(now, no);
         }
-        self.rebalance(now);
     }
 
     /// Forgets a link; its runs count as gone at a point in time.
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -24,10 +24,6 @@
         } => {
             info!(log, "queued"; "job" => %job, "queue" => queue, "upstreams" => upstreams);
         }
-        PlannerEvent::CalledBack { run, from, to } => {
-            info!(log, "run called back"; "job" => %run.job, "run" => %run, "runner" => &**from,
-                "room_at" => &**to);
-        }
         PlannerEvent::RunLost { run, runner, cause } => {
             let runner = runner.as_deref().unwrap_or("");
             info!(log, "run lost"; "job" => %run.job, "run" => %run, "runner" => runner,
