--- a/crates/chervilring_core/src/runs/planner/ends.rs
+++ b/crates/chervilring_core/src/runs/planner/ends.rs
@@ -32,10 +32,10 @@
         let Some(&(no, place)) = self.runs.get(&run) else {
             return;
         };
-        self.begun(now, no);
         let Some(job) = self.jobs.get_mut(&no) else {
             return;
         };
+        job.started.get_or_insert(now);
         let task = &mut job.tasks[place];
         let name = self.links.get(&link).map(|u| u.name.clone());
         let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -5,7 +5,6 @@
 use chervilring_wire::{JobId, Micros, Name, Resources, RunKey, Time};
 
 use super::links::LinkNo;
-use super::prospects::Kind;
 use crate::runs::route::Route;
 
 /// How often a task that can hardly end before its caller leaves is looked at.
@@ -99,8 +98,6 @@
     pub(super) objective: Time,
     /// Until when its first task may wait.
     pub(super) hold: Time,
-    /// When it is asked next whether it is worth a longer wait.
-    pub(super) check: Time,
     /// When its first task had begun, as far as is known.
     pub(super) started: Option<Time>,
     /// Whether it is refused as soon as no task of it can begin any more.
@@ -132,14 +129,6 @@
         &self.new.steps[self.tasks[task].step]
     }
 
-    /// Returns the jobs to which it is alike in its prospects.
-    pub(super) fn kind(&self) -> Kind {
-        Kind {
-            route: self.new.route.name.clone(),
-            late: self.waited.is_some(),
-        }
-    }
-
     /// Returns whether all tasks are done.
     pub(super) fn is_done(&self) -> bool {
         self.tasks.iter().all(|t| t.state == TaskState::Done)
@@ -179,11 +168,7 @@
     /// Returns when it is to be looked at even if nothing happens.
     pub(super) fn due(&self) -> Time {
         let held = self.started.is_none() && !self.withdrawn;
-        let mut due = if held {
-            self.hold.min(self.check)
-        } else {
-            self.new.deadline
-        };
+        let mut due = if held { self.hold } else { self.new.deadline };
         for task in &self.tasks {
             let TaskState::Waiting(at) = task.state else {
                 continue;
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -45,7 +45,8 @@
             RunnerMessage::State(state) => self.set_state(now, link, state),
             RunnerMessage::Started(run) => {
                 if let Some(&(no, _)) = self.runs.get(&run).filter(|_| self.is_at(&run, link)) {
-                    self.begun(now, no);
+                    let job = self.jobs.get_mut(&no);
+                    job.map(|j| j.started.get_or_insert(now));
                     self.settle(now, no);
                 }
             }
@@ -66,16 +67,6 @@
         }
     }
 
-    /// Takes in that a run of a job has begun.
-    pub(super) fn begun(&mut self, now: Time, no: u64) {
-        let Some(job) = self.jobs.get_mut(&no).filter(|j| j.started.is_none()) else {
-            return;
-        };
-        job.started = Some(now);
-        let (kind, wait) = (job.kind(), now.since(job.arrived));
-        self.prospects.begun(now, &kind, wait);
-    }
-
     fn greet(&mut self, now: Time, link: LinkNo, upstream: Upstream) {
         let event = PlannerEvent::LinkUp {
             runner: upstream.name.clone(),
--- a/crates/chervilring_core/src/runs/planner/settling.rs
+++ b/crates/chervilring_core/src/runs/planner/settling.rs
@@ -8,7 +8,7 @@
 use super::event::PlannerEvent;
 use super::job::{Job, TaskState};
 use super::links::LinkNo;
-use super::state::{JobAnswer, Planner, PlannerStep, Refusal, check_after};
+use super::state::{JobAnswer, Planner, PlannerStep, Refusal};
 
 /// How long the attempts of a job that was answered are remembered: callers send a job again
 /// within seconds.
@@ -21,7 +21,6 @@
             // One that was called back and has begun all the same goes on.
             job.withdrawn = job.withdrawn && job.started.is_none();
             job.settled = now;
-            job.check = check_after(job.arrived, now.since(job.arrived));
         }
         let Some(job) = self.jobs.get(&no) else {
             return;
@@ -31,7 +30,7 @@
             return;
         }
         let service = job.new.route.service.as_str();
-        if job.started.is_none() && self.is_vain(now, job) {
+        if job.started.is_none() && now >= job.hold {
             let known = self.links.values().any(|u| u.does(service));
             let why = if known {
                 Refusal::Overload
@@ -46,12 +45,6 @@
         }
     }
 
-    /// Returns whether a job that has not begun is not worth a longer wait.
-    fn is_vain(&self, now: Time, job: &Job) -> bool {
-        let wait = now.since(job.arrived);
-        now >= job.hold || !self.prospects.is_fair(now, &job.kind(), wait)
-    }
-
     /// Refuses a job of which nothing has begun, once that is sure: what waits at upstreams is
     /// called back first.
     fn withdraw(&mut self, now: Time, no: u64, why: Refusal) {
@@ -105,14 +98,6 @@
         let Some(job) = self.jobs.get(&no) else {
             return;
         };
-        if answer == JobAnswer::Refused(Refusal::Overload) {
-            let (kind, wait) = (job.kind(), now.since(job.arrived));
-            if now >= job.hold {
-                self.prospects.in_vain(now, &kind, wait);
-            } else {
-                self.prospects.cut_short(now, &kind, wait);
-            }
-        }
         let event = PlannerEvent::Answered {
             job: job.new.id,
             request: job.new.request.clone(),
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -9,7 +9,6 @@
 use super::event::PlannerEvent;
 use super::job::{Caller, Job, NewJob, Task, TaskState};
 use super::links::LinkNo;
-use super::prospects::Prospects;
 use super::resend::{Resends, Sending};
 use super::settings::PlannerSettings;
 use super::upstream::{Profile, Upstream};
@@ -90,8 +89,6 @@
     pub(super) past: FxHashMap<JobId, (u32, Time)>,
     /// Tells new jobs from those that are sent again.
     pub(super) resends: Resends,
-    /// Tells whether jobs are worth a longer wait.
-    pub(super) prospects: Prospects,
     /// When the next heartbeats are due.
     pub(super) beat: Time,
     /// Whether there may be room for waiting tasks since they were last looked at.
@@ -116,7 +113,6 @@
             ask: now,
             past: FxHashMap::default(),
             resends: Resends::default(),
-            prospects: Prospects::default(),
             beat: now + BEAT,
             changed: false,
             last: 0,
@@ -142,9 +138,11 @@
         let objective = now + span - waited.unwrap_or_default();
         let hold = hold(&Hold {
             arrived: now,
+            span,
             objective,
             deadline: new.deadline,
             chain,
+            share: self.settings.hold,
         });
         self.last += 1;
         let no = self.last;
@@ -159,7 +157,6 @@
             waited,
             objective,
             hold,
-            check: check_after(now, Micros::default()),
             started: None,
             looked: now,
             settled: now,
@@ -264,12 +261,6 @@
     }
 }
 
-/// Returns when a job that came in at `arrived` and has waited so long is asked next whether it is
-/// worth a longer wait.
-pub(super) fn check_after(arrived: Time, wait: Micros) -> Time {
-    Prospects::next(wait).map_or(Time::NEVER, |step| arrived + step)
-}
-
 /// Returns the tasks of a new job.
 fn tasks(new: &NewJob, now: Time, attempt: u32) -> Vec<Task> {
     let rows = new.steps.iter().enumerate();
--- a/crates/chervilring_core/src/runs/planner/systems.rs
+++ b/crates/chervilring_core/src/runs/planner/systems.rs
@@ -24,7 +24,6 @@
             self.ask_copy(now);
             self.profiles.retain(|_, p| now.since(p.seen) < PROFILE_AGE);
             self.resends.forget(now);
-            self.prospects.forget(now);
             self.past.retain(|_, (_, until)| now < *until);
         }
         let rows = self.jobs.iter().filter(|(_, j)| j.due() <= now);
