Try: answers to starts are waited for 10, 20, 40 ms in place of 30

Hypothesis: each lost answer of an upstream costs a task 30 ms, and a short task has 36 ms to spare.

--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -6,6 +6,7 @@
 
 use super::call::{CallOutcome, Refused};
 use super::event::RunnerEvent;
+use super::repeats::start_wait;
 use super::state::{Run, RunState, Runner, RunnerStep};
 use crate::runs::planner::LinkNo;
 
@@ -37,7 +38,7 @@
                 spec: start.spec.clone(),
                 state: RunState::Queued,
                 doomed: false,
-                unanswered: false,
+                unanswered: 0,
                 taken: now,
                 latest,
                 again: None,
@@ -111,7 +112,7 @@
         let Some(row) = self.runs.get(&run) else {
             return;
         };
-        if row.unanswered {
+        if row.unanswered > 0 {
             self.end(now, run, RunEnd::Lapsed);
             return;
         }
@@ -176,8 +177,9 @@
             CallOutcome::Done { .. } | CallOutcome::Listed(_) => self.begun(now, run),
             CallOutcome::Refused { why, .. } => self.start_refused(now, run, *why),
             CallOutcome::Lost => {
-                row.unanswered = true;
-                self.put_off(sent, run, "start");
+                let wait = start_wait(row.unanswered);
+                row.unanswered += 1;
+                self.put_off(sent + wait, run, "start");
             }
         }
     }
@@ -219,7 +221,7 @@
         }
         self.steps
             .push(RunnerStep::Log(RunnerEvent::NotStarted { run, why }));
-        if unanswered {
+        if unanswered > 0 {
             self.clear_up(now, run, why);
             return;
         }
