--- a/crates/chervilring_core/src/runs/runner/call.rs
+++ b/crates/chervilring_core/src/runs/runner/call.rs
@@ -33,8 +33,6 @@
         lease: u64,
         /// The fencing token.
         fence: u64,
-        /// How long to wait for the answer.
-        wait: Micros,
     },
     /// Stops a run, or keeps one from starting that has not come yet.
     Stop {
--- a/crates/chervilring_core/src/runs/runner/lives.rs
+++ b/crates/chervilring_core/src/runs/runner/lives.rs
@@ -121,7 +121,7 @@
             match row.state {
                 RunState::Queued => {}
                 RunState::Starting if !row.doomed => {
-                    row.unanswered += 1;
+                    row.unanswered = true;
                     row.state = RunState::Unsure(now);
                 }
                 RunState::Unsure(_) => row.state = RunState::Unsure(now),
--- a/crates/chervilring_core/src/runs/runner/repeats.rs
+++ b/crates/chervilring_core/src/runs/runner/repeats.rs
@@ -3,24 +3,14 @@
 //! The load that this answers: an upstream goes down while it has many runs, and refuses each
 //! connection at once. What is asked of it waits until it answers the calls for its lists, which are
 //! made at a falling pace.
-//!
-//! Another one: an upstream loses single calls, or their answers. Short tasks miss their objective by
-//! the wait for such an answer, so that the first waits are short; a start that is asked for again has
-//! no further effect.
 
 use chervilring_wire::{Micros, RunKey, Time};
 
 use super::state::{RunState, Runner};
 use super::worker::{Contact, Worker, WorkerState};
 
-/// The least time between two calls to stop a run: so long a call may take on the same host.
-pub(super) const PACE: Micros = Micros::from_millis(30);
-
-/// How long the first answer to a start is waited for: most come within a millisecond.
-const FIRST_ANSWER: Micros = Micros::from_millis(10);
-
-/// The doublings after which that wait is the longest one.
-const MOST_ANSWER_DOUBLINGS: u32 = 2;
+/// The least time between two calls about one run: so long a call may take on the same host.
+const PACE: Micros = Micros::from_millis(30);
 
 /// How soon the upstream is asked for its lists again after a call that got no answer.
 const FIRST_WAIT: Micros = Micros::from_millis(10);
@@ -31,11 +21,6 @@
 /// The doublings after which the wait is the longest one in any case.
 const MOST_DOUBLINGS: u32 = 4;
 
-/// Returns how long the answer to a start is waited for after so many without one.
-pub(super) fn start_wait(unanswered: u32) -> Micros {
-    Micros(FIRST_ANSWER.0 << unanswered.min(MOST_ANSWER_DOUBLINGS))
-}
-
 impl Worker {
     /// Takes in that a call for its lists got no answer.
     pub(super) fn missed(&mut self, now: Time) {
@@ -46,10 +31,10 @@
 }
 
 impl Runner {
-    /// Has a call that got no answer made again, from `again` on, when that is of use.
-    pub(super) fn put_off(&mut self, again: Time, run: RunKey, call: &'static str) {
+    /// Has a call that was made at `sent`, and got no answer, made again when that is of use.
+    pub(super) fn put_off(&mut self, sent: Time, run: RunKey, call: &'static str) {
         if let Some(row) = self.runs.get_mut(&run) {
-            row.again = Some(again);
+            row.again = Some(sent + PACE);
         }
         self.log_no_answer(Some(run), call);
     }
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -6,7 +6,6 @@
 
 use super::call::{CallOutcome, Refused};
 use super::event::RunnerEvent;
-use super::repeats::start_wait;
 use super::state::{Run, RunState, Runner, RunnerStep};
 use crate::runs::planner::LinkNo;
 
@@ -38,7 +37,7 @@
                 spec: start.spec.clone(),
                 state: RunState::Queued,
                 doomed: false,
-                unanswered: 0,
+                unanswered: false,
                 taken: now,
                 latest,
                 again: None,
@@ -112,7 +111,7 @@
         let Some(row) = self.runs.get(&run) else {
             return;
         };
-        if row.unanswered > 0 {
+        if row.unanswered {
             self.end(now, run, RunEnd::Lapsed);
             return;
         }
@@ -177,9 +176,8 @@
             CallOutcome::Done { .. } | CallOutcome::Listed(_) => self.begun(now, run),
             CallOutcome::Refused { why, .. } => self.start_refused(now, run, *why),
             CallOutcome::Lost => {
-                let wait = start_wait(row.unanswered);
-                row.unanswered += 1;
-                self.put_off(sent + wait, run, "start");
+                row.unanswered = true;
+                self.put_off(sent, run, "start");
             }
         }
     }
@@ -221,7 +219,7 @@
         }
         self.steps
             .push(RunnerStep::Log(RunnerEvent::NotStarted { run, why }));
-        if unanswered > 0 {
+        if unanswered {
             self.clear_up(now, run, why);
             return;
         }
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -73,8 +73,8 @@
     pub(super) state: RunState,
     /// Whether it is to be stopped as soon as the start under way is answered.
     pub(super) doomed: bool,
-    /// How many calls for its start got no answer: if any, the upstream may have begun it, or may yet.
-    pub(super) unanswered: u32,
+    /// Whether a call for its start got no answer: the upstream may have begun it, or may yet.
+    pub(super) unanswered: bool,
     /// When it was taken on.
     pub(super) taken: Time,
     /// Until when it is of use to start it.
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -4,7 +4,6 @@
 
 use super::call::{CallOutcome, Refused};
 use super::event::RunnerEvent;
-use super::repeats::PACE;
 use super::state::{Run, RunState, Runner, RunnerStep};
 
 /// How much of the past is kept with each run in the mean time that runs take.
@@ -68,7 +67,7 @@
             | CallOutcome::Refused {
                 why: Refused::Unhealthy,
                 ..
-            } => self.put_off(sent + PACE, run, "stop"),
+            } => self.put_off(sent, run, "stop"),
             CallOutcome::Refused {
                 why: Refused::Fence,
                 ..
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -4,7 +4,6 @@
 
 use super::call::{CallOutcome, Refused, WorkerCall};
 use super::event::RunnerEvent;
-use super::repeats::start_wait;
 use super::state::{Run, RunState, Runner, RunnerStep};
 use super::worker::{Contact, Worker, WorkerState};
 use crate::runs::bounds::LEASE;
@@ -105,7 +104,6 @@
             demand: row.demand,
             lease,
             fence: self.fence,
-            wait: start_wait(row.unanswered),
         };
         self.steps.push(RunnerStep::Call(call));
     }
