--- a/crates/chervilring_core/src/runs/planner/straggler.rs
+++ b/crates/chervilring_core/src/runs/planner/straggler.rs
@@ -15,8 +15,8 @@
 /// what was done is thrown away.
 const GAIN: f64 = 2.0;
 
-/// How many times longer than usual on its upstream it must take, or how many times slower than the
-/// best its upstream must be: a task that is longer than it was said to be is so everywhere.
+/// How many times longer than usual on its upstream it must take: a task that is longer than it was
+/// said to be is so everywhere.
 const SLOWER: f64 = 3.0;
 
 /// The share that counts as done while nothing is.
@@ -54,8 +54,7 @@
     pub fn is_straggler(&self) -> bool {
         let late = self.left().0 as f64 > self.again().0 as f64 * GAIN;
         let usual = self.size.0 as f64 / self.usual;
-        let slow = (self.span.0 + self.left().0) as f64 > usual * SLOWER
-            || self.usual * SLOWER < self.best;
+        let slow = (self.span.0 + self.left().0) as f64 > usual * SLOWER;
         self.span >= FIRST_LOOK && late && slow
     }
 
--- a/crates/chervilring_core/src/runs/runner/link_systems.rs
+++ b/crates/chervilring_core/src/runs/runner/link_systems.rs
@@ -121,7 +121,7 @@
             free: self.free(),
             queued: self.queue(now),
             span: Micros::from_millis(self.span as u64 / 1_000),
-            speed: self.told_speed(now),
+            speed: self.speed.permille(),
             labels: worker.report.labels.clone(),
         };
         let busy: FxHashSet<LinkNo> = self.steps.iter().filter_map(goes_to).collect();
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -90,7 +90,6 @@
             // A first list with foreign runs leaves it unknown what is free.
             worker.known = worker.known || !(foreign || lists.more);
         }
-        self.watch_pace(now);
         self.tell_progress(now, lists);
     }
 
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -8,7 +8,6 @@
 mod links;
 mod lists;
 mod lives;
-mod pace;
 mod record;
 mod repeats;
 mod starts;
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -10,7 +10,6 @@
 use super::call::{CallOutcome, WorkerCall};
 use super::event::RunnerEvent;
 use super::links::Link;
-use super::pace::SlowPace;
 use super::record::Record;
 use super::worker::Worker;
 use crate::runs::bounds::{RUN_GONE, patience_step};
@@ -108,8 +107,6 @@
     pub(super) span: f64,
     /// How fast the upstream is.
     pub(super) speed: Speed,
-    /// How slow it is at the moment, if much slower than that.
-    pub(super) slow: Option<SlowPace>,
     /// What was last kept of that, in thousandths, and when that may be done again.
     pub(super) kept_speed: (u32, Time),
     /// When the lease of what an earlier life of this runner has started is surely over.
@@ -136,7 +133,6 @@
             open: false,
             span: FIRST_SPAN,
             speed: Speed::default(),
-            slow: None,
             kept_speed: (Speed::default().permille(), now),
             past: now + RUN_GONE,
         }
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -17,7 +17,7 @@
 
 impl Run {
     /// Returns how much of its declared size is done.
-    pub(super) fn worked(&self) -> Micros {
+    fn worked(&self) -> Micros {
         let done = (f64::from(self.percent) / 100.0).max(LEAST_DONE);
         Micros((self.size.0 as f64 * done) as u64)
     }
--- a/crates/chervilring_core/src/runs/runner/telling.rs
+++ b/crates/chervilring_core/src/runs/runner/telling.rs
@@ -28,9 +28,6 @@
     if kind(told) != kind(state) || told.service != state.service || told.labels != state.labels {
         return true;
     }
-    if is_other_speed(told.speed, state.speed) {
-        return true;
-    }
     if is_plenty(told) && is_plenty(state) {
         return false;
     }
@@ -42,12 +39,6 @@
     is_far(&told.free, &state.free, all, grain) || is_far(&queue(told), &queue(state), all, grain)
 }
 
-/// Returns whether one speed is twice the other: tasks that meet their objective at one miss it at the
-/// other.
-fn is_other_speed(a: u32, b: u32) -> bool {
-    a.max(b) >= 2 * a.min(b)
-}
-
 /// Returns whether two amounts are more than a share of the whole apart.
 fn is_far(a: &Resources, b: &Resources, all: &Resources, grain: f64) -> bool {
     let far = |a: u64, b: u64, all: u64| a.abs_diff(b) as f64 > all as f64 * grain;
--- a/crates/chervilring_core/src/runs/speed.rs
+++ b/crates/chervilring_core/src/runs/speed.rs
@@ -47,12 +47,7 @@
     /// Returns the speed in thousandths, in steps: finer ones would change, and be told, with each
     /// run.
     pub fn permille(&self) -> u32 {
-        Self::steps(self.value())
-    }
-
-    /// Returns a speed in thousandths, in the same steps.
-    pub(super) fn steps(speed: f64) -> u32 {
-        let value = speed * 1_000.0 / f64::from(STEP);
+        let value = self.value() * 1_000.0 / f64::from(STEP);
         (value.round() as u32).max(1) * STEP
     }
 
