--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -1,16 +1,19 @@
 //! The planner daemon: carries the decisions of a planner to sockets.
 
+mod links;
+mod serving;
+
 use std::net::SocketAddr;
 
-use chervilring_core::runs::planner::{Caller, LinkNo, PlannerSettings, PlannerStep};
+use chervilring_core::runs::planner::{PlannerSettings, PlannerStep};
 use chervilring_core::runs::{Planner, RouteTable};
-use chervilring_wire::{ConfigCopy, Micros, RunnerMessage, Time};
+use chervilring_wire::{ConfigCopy, Micros, Time};
 use eyre::WrapErr;
 use slog::{Logger, info, warn};
 use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
 use stakker_mio::Ready;
 
-use super::dialect::{CallerCall, CallerDialect};
+use super::dialect::CallerDialect;
 use super::pause::PauseWatch;
 use super::planner_log;
 use super::planner_report::PlannerReport;
@@ -21,8 +24,8 @@
 use super::told::{self, Told};
 use crate::log;
 use crate::net::{
-    Clock, ConnNo, EventLoop, HttpAnswer, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId,
-    LinkState, Links, Listener,
+    Clock, ConnNo, EventLoop, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId, Links,
+    Listener,
 };
 use crate::signals::Asked;
 
@@ -202,118 +205,6 @@
         self.carry_soon(cx);
     }
 
-    /// Handles what callers send.
-    fn callers(&mut self, cx: CX![], ready: HttpReady) {
-        self.check_pause();
-        let now = self.parts.clock.time();
-        let events = self.parts.callers.handle(now, ready);
-        self.caller_events(now, events);
-        self.carry_soon(cx);
-    }
-
-    fn caller_events(&mut self, now: Time, events: Vec<HttpEvent>) {
-        let mut queue = std::collections::VecDeque::from(events);
-        while let Some(event) = queue.pop_front() {
-            match event {
-                HttpEvent::Gone(conn) => self.parts.planner.caller_gone(now, Caller(conn.0)),
-                HttpEvent::Request(conn, request) => {
-                    let Some(routes) = &self.routes else {
-                        let answer = (self.parts.dialect.unready)();
-                        queue.extend(self.parts.callers.answer(now, conn, &answer));
-                        continue;
-                    };
-                    let call = (self.parts.dialect.read)(&request, routes, now);
-                    queue.extend(self.serve(now, conn, call));
-                }
-            }
-            queue.extend(self.steps(now));
-        }
-    }
-
-    /// Serves what a caller asks for; returns what came in behind it.
-    fn serve(&mut self, now: Time, conn: ConnNo, call: CallerCall) -> Vec<HttpEvent> {
-        let dialect = self.parts.dialect;
-        let answer = match call {
-            CallerCall::Submit(new) => {
-                self.parts.report.submitted.add(1, &[]);
-                self.parts.planner.submit(now, Caller(conn.0), new);
-                return Vec::new();
-            }
-            CallerCall::Waiting(route) => (dialect.waiting)(self.parts.planner.waiting(&route)),
-            CallerCall::State(job) => (dialect.state)(self.parts.planner.has(job)),
-            CallerCall::Cancel(job) => (dialect.state)(self.parts.planner.cancel(now, job)),
-            CallerCall::Answer(answer) => answer,
-        };
-        self.parts.callers.answer(now, conn, &answer)
-    }
-
-    /// Answers whether callers are to be sent here.
-    fn ready(&mut self, cx: CX![], ready: HttpReady) {
-        let now = self.parts.clock.time();
-        let able =
-            self.routes.is_some() && self.stopping.is_none() && self.parts.planner.runners() > 0;
-        let status = if able { 200 } else { 503 };
-        for event in self.parts.ready.handle(now, ready) {
-            if let HttpEvent::Request(conn, _) = event {
-                let answer = HttpAnswer::json(status, Vec::new());
-                self.parts.ready.answer(now, conn, &answer);
-            }
-        }
-        self.carry_soon(cx);
-    }
-
-    /// Serves the metrics.
-    fn metrics(&mut self, cx: CX![], ready: HttpReady) {
-        let now = self.parts.clock.time();
-        let report = &self.parts.report;
-        report.jobs.record(self.parts.planner.jobs() as u64, &[]);
-        report
-            .runners
-            .record(self.parts.planner.runners() as u64, &[]);
-        let version = self.routes.as_ref().map_or(0, |r| r.version);
-        report.version.record(version, &[]);
-        ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
-        self.carry_soon(cx);
-    }
-
-    /// Accepts links of runners.
-    fn accept(&mut self, cx: CX![], _ready: Ready) {
-        while let Some(stream) = self.parts.listener.accept() {
-            if let Err(error) = self.parts.links.accept(stream) {
-                warn!(self.parts.log, "link not accepted"; "error" => %error);
-            }
-        }
-        self.carry_soon(cx);
-    }
-
-    /// Reads from and writes to a link.
-    fn link_ready(&mut self, cx: CX![], event: LinkEvent) {
-        self.check_pause();
-        let Parts {
-            links,
-            planner,
-            clock,
-            log,
-            ..
-        } = &mut self.parts;
-        let link = LinkNo(event.id.0);
-        let take = |message: RunnerMessage| planner.message(clock.time(), link, message);
-        let state = links.serve(event, take).unwrap_or_else(|error| {
-            warn!(log, "link dropped"; "error" => %error);
-            LinkState::Closed
-        });
-        if state == LinkState::Closed {
-            self.close(event.id);
-        }
-        self.carry_soon(cx);
-    }
-
-    fn close(&mut self, link: LinkId) {
-        self.parts.links.close(link);
-        let now = self.parts.clock.time();
-        self.parts.planner.link_down(now, LinkNo(link.0));
-    }
-
     /// Puts a configuration in force, if it is newer than the one that is.
     fn take_config(&mut self, copy: ConfigCopy, from: &'static str) {
         let last = self.routes.as_ref().map_or(0, |r| r.version);
--- /dev/null
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -0,0 +1,87 @@
+//! The ports of a planner for callers, the balancer and metrics.
+
+use chervilring_core::runs::planner::Caller;
+use chervilring_wire::Time;
+use stakker::CX;
+
+use super::super::dialect::CallerCall;
+use super::super::ports;
+use super::PlannerActor;
+use crate::net::{ConnNo, HttpAnswer, HttpEvent, HttpReady};
+
+impl PlannerActor {
+    /// Handles what callers send.
+    pub(super) fn callers(&mut self, cx: CX![], ready: HttpReady) {
+        self.check_pause();
+        let now = self.parts.clock.time();
+        let events = self.parts.callers.handle(now, ready);
+        self.caller_events(now, events);
+        self.carry_soon(cx);
+    }
+
+    /// Takes in what callers send, and what came in behind requests that are answered by it.
+    pub(super) fn caller_events(&mut self, now: Time, events: Vec<HttpEvent>) {
+        let mut queue = std::collections::VecDeque::from(events);
+        while let Some(event) = queue.pop_front() {
+            match event {
+                HttpEvent::Gone(conn) => self.parts.planner.caller_gone(now, Caller(conn.0)),
+                HttpEvent::Request(conn, request) => {
+                    let Some(routes) = &self.routes else {
+                        let answer = (self.parts.dialect.unready)();
+                        queue.extend(self.parts.callers.answer(now, conn, &answer));
+                        continue;
+                    };
+                    let call = (self.parts.dialect.read)(&request, routes, now);
+                    queue.extend(self.serve(now, conn, call));
+                }
+            }
+            queue.extend(self.steps(now));
+        }
+    }
+
+    /// Serves what a caller asks for; returns what came in behind it.
+    fn serve(&mut self, now: Time, conn: ConnNo, call: CallerCall) -> Vec<HttpEvent> {
+        let dialect = self.parts.dialect;
+        let answer = match call {
+            CallerCall::Submit(new) => {
+                self.parts.report.submitted.add(1, &[]);
+                self.parts.planner.submit(now, Caller(conn.0), new);
+                return Vec::new();
+            }
+            CallerCall::Waiting(route) => (dialect.waiting)(self.parts.planner.waiting(&route)),
+            CallerCall::State(job) => (dialect.state)(self.parts.planner.has(job)),
+            CallerCall::Cancel(job) => (dialect.state)(self.parts.planner.cancel(now, job)),
+            CallerCall::Answer(answer) => answer,
+        };
+        self.parts.callers.answer(now, conn, &answer)
+    }
+
+    /// Answers whether callers are to be sent here.
+    pub(super) fn ready(&mut self, cx: CX![], ready: HttpReady) {
+        let now = self.parts.clock.time();
+        let able =
+            self.routes.is_some() && self.stopping.is_none() && self.parts.planner.runners() > 0;
+        let status = if able { 200 } else { 503 };
+        for event in self.parts.ready.handle(now, ready) {
+            if let HttpEvent::Request(conn, _) = event {
+                let answer = HttpAnswer::json(status, Vec::new());
+                self.parts.ready.answer(now, conn, &answer);
+            }
+        }
+        self.carry_soon(cx);
+    }
+
+    /// Serves the metrics.
+    pub(super) fn metrics(&mut self, cx: CX![], ready: HttpReady) {
+        let now = self.parts.clock.time();
+        let report = &self.parts.report;
+        report.jobs.record(self.parts.planner.jobs() as u64, &[]);
+        report
+            .runners
+            .record(self.parts.planner.runners() as u64, &[]);
+        let version = self.routes.as_ref().map_or(0, |r| r.version);
+        report.version.record(version, &[]);
+        ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
+        self.carry_soon(cx);
+    }
+}
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -1,13 +1,15 @@
 //! The runner daemon: carries the decisions of a runner to sockets and threads.
 
+mod links;
+
 use std::net::SocketAddr;
 use std::sync::mpsc::{self, Sender};
 use std::thread;
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_core::runs::runner::{Dial, Due, Record, RunnerStep};
-use chervilring_wire::{PlannerMessage, Time};
+use chervilring_core::runs::runner::{Dial, Record, RunnerStep};
+use chervilring_wire::Time;
 use slog::{Logger, info, warn};
 use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
 
@@ -24,7 +26,7 @@
 use super::told::{self, Told};
 use crate::log;
 use crate::net::{
-    Clock, EventLoop, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId, LinkState, Links,
+    Clock, EventLoop, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId, Links,
 };
 use crate::signals::Asked;
 
@@ -282,61 +284,6 @@
         self.carry_soon(cx);
     }
 
-    /// Reads from and writes to a link.
-    fn link_ready(&mut self, cx: CX![], event: LinkEvent) {
-        self.check_pause();
-        let Parts {
-            links,
-            dial,
-            runner,
-            clock,
-            log,
-            ..
-        } = &mut self.parts;
-        let take = |message: PlannerMessage| {
-            let (now, link) = (clock.time(), LinkNo(event.id.0));
-            dial.heard(now, link);
-            runner.message(now, link, message);
-        };
-        let state = links.serve(event, take).unwrap_or_else(|error| {
-            warn!(log, "link dropped"; "error" => %error);
-            LinkState::Closed
-        });
-        if state == LinkState::Closed {
-            self.close(event.id);
-        }
-        self.carry_soon(cx);
-    }
-
-    fn close(&mut self, link: LinkId) {
-        self.parts.links.close(link);
-        let now = self.parts.clock.time();
-        self.parts.dial.closed(now, LinkNo(link.0));
-        self.parts.runner.link_down(now, LinkNo(link.0));
-    }
-
-    fn dial(&mut self, now: Time) {
-        let ready = self.parts.runner.may_greet(now);
-        for due in self.parts.dial.due(now, ready) {
-            match due {
-                Due::Close(link) => self.close(LinkId(link.0)),
-                Due::Part(link) => self.parts.runner.part(now, link),
-                Due::Dial(addr) => match self.parts.links.dial(addr) {
-                    Ok(link) => {
-                        let link = LinkNo(link.0);
-                        self.parts.dial.opened(now, addr, link);
-                        self.parts.runner.link_up(now, link);
-                    }
-                    Err(error) => {
-                        warn!(self.parts.log, "planner not dialled"; "addr" => %addr,
-                            "error" => %error);
-                        self.parts.dial.back_off(now, addr);
-                    }
-                },
-            }
-        }
-    }
-
     fn check_pause(&mut self) {
         if let Some(span) = self.parts.pause.look(&self.parts.clock) {
             let now = self.parts.clock.time();
