Planners: logs say what is known of the configuration where no route matches

A line for each such request names version, source, ages, the store's revision and the reads that failed since; a request for a runner's replica is logged with both versions. No decision changes.

--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -66,6 +66,15 @@
         /// Whether the objective was met.
         objective_met: bool,
     },
+    /// A runner was asked for its replica of the configuration.
+    ReplicaRequested {
+        /// The runner.
+        runner: Name,
+        /// The version of its replica.
+        version: u64,
+        /// The newest version known here.
+        known: u64,
+    },
     /// All callers of a job have disconnected, and its runs are stopped.
     Abandoned {
         /// The job.
--- a/crates/chervilring_core/src/runs/planner/replicas.rs
+++ b/crates/chervilring_core/src/runs/planner/replicas.rs
@@ -7,6 +7,7 @@
 use chervilring_wire::{Micros, Name, PlannerMessage, Time};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::event::PlannerEvent;
 use super::links::LinkNo;
 use super::state::{Planner, PlannerStep};
 
@@ -44,9 +45,16 @@
             return;
         }
         let newer = self.links.iter().filter(|(_, u)| u.replica_version > known);
-        let Some((&link, _)) = newer.max_by_key(|(link, u)| (u.replica_version, **link)) else {
+        let Some((&link, upstream)) = newer.max_by_key(|(link, u)| (u.replica_version, **link))
+        else {
             return;
         };
+        let event = PlannerEvent::ReplicaRequested {
+            runner: upstream.name.clone(),
+            version: upstream.replica_version,
+            known,
+        };
+        self.steps.push(PlannerStep::Log(event));
         self.next_request = now + REQUEST_INTERVAL;
         let message = PlannerMessage::RequestReplica;
         self.steps.push(PlannerStep::Send { link, message });
--- a/crates/chervilring_daemon/src/runs/dialect.rs
+++ b/crates/chervilring_daemon/src/runs/dialect.rs
@@ -20,6 +20,8 @@
     State(JobId),
     /// To have a job cancelled.
     Cancel(JobId),
+    /// Something that no route in force matches, with its answer.
+    Unrouted(HttpAnswer),
     /// Something that is answered at once.
     Answer(HttpAnswer),
 }
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -2,6 +2,7 @@
 
 mod links;
 mod serving;
+mod source;
 
 use std::net::SocketAddr;
 
@@ -13,6 +14,7 @@
 use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
 use stakker_mio::Ready;
 
+use self::source::ConfigSource;
 use super::dialect::CallerDialect;
 use super::pause::PauseWatch;
 use super::planner_log;
@@ -66,6 +68,7 @@
     stopping: Option<Time>,
     sweep: Time,
     faults: EvacuationFaults,
+    source: ConfigSource,
 }
 
 /// Runs a planner until it is told to stop and has answered its callers.
@@ -171,6 +174,7 @@
             pending: false,
             stopping: None,
             faults: EvacuationFaults::default(),
+            source: ConfigSource::default(),
         };
         this.carry(cx);
         Some(this)
@@ -195,6 +199,10 @@
             match event {
                 Told::Store(StoreEvent::Config(copy)) => self.take_config(copy, "store"),
                 Told::Store(StoreEvent::Evacuations(reading)) => self.take_evacuations(&reading),
+                Told::Store(StoreEvent::Read(report)) => {
+                    let now = self.parts.clock.time();
+                    self.source.record_read(now, report);
+                }
                 Told::Store(StoreEvent::Members(_) | StoreEvent::Recalled(..)) => {}
                 Told::Store(StoreEvent::Reached(error)) => told::log_store(&self.parts.log, error),
                 Told::Asked(Asked::Stop) => self.stop(),
@@ -218,6 +226,8 @@
             Ok(routes) => {
                 info!(self.parts.log, "configuration in force"; "config" => routes.version,
                     "before" => last, "from" => from, "routes" => routes.routes().len());
+                let now = self.parts.clock.time();
+                self.source.set_version(now, routes.version, from);
                 self.parts.callers.set_body(routes.max_body);
                 self.routes = Some(routes);
                 self.parts.planner.set_config(copy);
--- a/crates/chervilring_daemon/src/runs/planner/serving.rs
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -32,6 +32,9 @@
                         continue;
                     };
                     let call = (self.parts.dialect.read)(&request, routes, now);
+                    if matches!(call, CallerCall::Unrouted(_)) {
+                        self.source.log_unrouted(&self.parts.log, &request, now);
+                    }
                     queue.extend(self.serve(now, conn, call));
                 }
             }
@@ -53,7 +56,7 @@
             }
             CallerCall::State(job) => (dialect.state)(self.parts.planner.contains(job)),
             CallerCall::Cancel(job) => (dialect.state)(self.parts.planner.cancel(now, job)),
-            CallerCall::Answer(answer) => answer,
+            CallerCall::Unrouted(answer) | CallerCall::Answer(answer) => answer,
         };
         self.parts.callers.answer(now, conn, &answer)
     }
@@ -86,6 +89,9 @@
             .record(self.parts.planner.runner_count() as u64, &[]);
         let version = self.routes.as_ref().map_or(0, |r| r.version);
         report.version.record(version, &[]);
+        report
+            .failed_reads
+            .record(u64::from(self.source.failed_reads()), &[]);
         let planner = &self.parts.planner;
         let (domains, upstreams) = (planner.evacuated_domains(), planner.evacuated_upstreams());
         report.evacuated.record(domains as u64, &[]);
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -48,6 +48,14 @@
                 "answer" => ?answer, "patience_us" => caller_timeout.0, "sent_before_us" => prior_wait.map(|w| w.0), "took_us" => duration.0, "waited_us" => start_wait.map(|w| w.0),
                 "starts" => starts, "objective_met" => objective_met);
         }
+        PlannerEvent::ReplicaRequested {
+            runner,
+            version,
+            known,
+        } => {
+            info!(log, "configuration asked for"; "runner" => &**runner, "config" => version,
+                "known" => known);
+        }
         PlannerEvent::Abandoned { job, runs } => {
             info!(log, "caller left"; "job" => %job, "runs_stopped" => runs);
         }
--- a/crates/chervilring_daemon/src/runs/planner_report.rs
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -11,6 +11,7 @@
     pub(super) jobs: Gauge<u64>,
     pub(super) runners: Gauge<u64>,
     pub(super) version: Gauge<u64>,
+    pub(super) failed_reads: Gauge<u64>,
     pub(super) evacuated: Gauge<u64>,
     pub(super) left_out: Gauge<u64>,
     /// Jobs taken from callers.
@@ -40,6 +41,10 @@
                 "Linked upstreams in failure domains that are evacuated",
             ),
             version: metrics.gauge("config_version", "Configuration in force"),
+            failed_reads: metrics.gauge(
+                "config_reads_failed",
+                "Reads of the configuration that failed since the last one that did not",
+            ),
             submitted: metrics.counter("jobs_submitted", "Jobs taken from callers"),
             completed: metrics.counter("jobs_completed", "Jobs that were done"),
             failed: metrics.counter("jobs_failed", "Jobs of which a task failed for good"),
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -98,6 +98,13 @@
     pub renew: Arc<Renew>,
 }
 
+/// How a read of what operators have written has gone.
+#[derive(Debug)]
+pub struct ReadReport {
+    /// The revision of the store that it showed, or why it failed.
+    pub outcome: Result<u64, String>,
+}
+
 /// What the threads that call the store tell.
 #[derive(Debug)]
 pub enum StoreEvent {
@@ -105,6 +112,8 @@
     Config(ConfigReplica),
     /// The evacuated failure domains were read.
     Evacuations(EvacuationReading),
+    /// A read of what operators have written has succeeded or failed.
+    Read(ReadReport),
     /// The planners' addresses were read.
     Members(Vec<SocketAddr>),
     /// What an earlier life of the runner knew of its upstream, and whether that still answers.
@@ -123,7 +132,7 @@
         let mut last = first;
         loop {
             thread::sleep(CONFIG_POLL);
-            let Some(reading) = checked((registry.operator)(), &mut well, &tell) else {
+            let Some(reading) = reported((registry.operator)(), &mut well, &tell) else {
                 continue;
             };
             tell(StoreEvent::Evacuations(reading.evacuations));
@@ -166,6 +175,20 @@
     });
 }
 
+/// Tells how a read has gone, and returns what it brought.
+fn reported(
+    outcome: Result<OperatorReading, StoreError>,
+    well: &mut bool,
+    tell: &impl Fn(StoreEvent),
+) -> Option<OperatorReading> {
+    let revision = outcome.as_ref().map(|r| r.evacuations.evacuations.revision);
+    let outcome_text = revision.map_err(ToString::to_string);
+    tell(StoreEvent::Read(ReadReport {
+        outcome: outcome_text,
+    }));
+    checked(outcome, well, tell)
+}
+
 /// Returns the outcome of a call, or tells that the store is lost.
 fn checked<T>(
     outcome: Result<T, StoreError>,
@@ -203,7 +226,7 @@
             outcomes.recv_timeout(next.saturating_duration_since(Instant::now()))
         {
             reads -= 1;
-            let Some(reading) = checked(outcome, well, tell) else {
+            let Some(reading) = reported(outcome, well, tell) else {
                 continue;
             };
             // No job is served by a configuration without the evacuations that were read with it.
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -202,7 +202,7 @@
         let now = self.parts.clock.time();
         for event in events {
             match event {
-                Told::Store(StoreEvent::Config(_)) => {}
+                Told::Store(StoreEvent::Config(_) | StoreEvent::Read(_)) => {}
                 Told::Store(StoreEvent::Evacuations(reading)) => {
                     self.faults.log_new(&self.parts.log, &reading);
                     self.parts.runner.set_evacuations(now, &reading.evacuations);
