Planners: one replica of the configuration is on its way at a time

On a host with 25 Mbit/s five documents of half a megabyte fill the link for longer than links last without a heartbeat; every new link could be sent one again.

Change: a planner sends the next replica when the last one is stored or its link has ended, and planners begin at different runners. The messages are the same, so older processes notice nothing.

--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -20,7 +20,7 @@
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT_INTERVAL;
             self.send_heartbeats();
-            self.send_replicas();
+            self.send_replica();
             self.request_replica(now);
             self.profiles
                 .retain(|_, p| now.duration_since(p.last_seen) < PROFILE_AGE);
--- a/crates/chervilring_core/src/runs/planner/replicas.rs
+++ b/crates/chervilring_core/src/runs/planner/replicas.rs
@@ -1,7 +1,7 @@
 //! Replicas of the configuration, which runners store for planners that start without the store.
 //!
-//! Only a few runners store a replica. With a large configuration and many runners, replicas for
-//! all of them could fill the planner's network link for longer than links last without a
+//! Only a few runners store a replica, and a planner sends one at a time. With a large configuration
+//! several at once could fill the network link of a small host for longer than links last without a
 //! heartbeat, and all links would be lost.
 
 use chervilring_wire::{Micros, Name, PlannerMessage, Time};
@@ -10,6 +10,7 @@
 use super::event::PlannerEvent;
 use super::links::LinkNo;
 use super::state::{Planner, PlannerStep};
+use super::upstream::Upstream;
 
 /// The number of runners that store a replica. Some may be gone when it is needed.
 const REPLICA_COUNT: usize = 5;
@@ -18,23 +19,35 @@
 const REQUEST_INTERVAL: Micros = Micros::from_millis(200);
 
 impl Planner {
-    /// Sends the configuration to the chosen runners that do not have this version yet.
-    pub(super) fn send_replicas(&mut self) {
+    /// Sends the configuration to the next chosen runner that does not have this version yet, unless
+    /// one is on its way to another.
+    pub(super) fn send_replica(&mut self) {
         let Some(config) = &self.config else {
             return;
         };
+        let version = config.version;
+        let is_behind = |u: &Upstream| u.replica_version < version;
+        let is_sent = |u: &Upstream| u.replica_sent == version && is_behind(u);
+        if self.links.values().any(is_sent) {
+            return;
+        }
         let names = self.links.iter().map(|(&link, u)| (link, &u.name));
-        for link in replica_holders(names) {
-            let Some(upstream) = self.links.get_mut(&link) else {
-                continue;
-            };
-            if upstream.replica_version >= config.version {
-                continue;
-            }
-            upstream.replica_version = config.version;
-            let message = PlannerMessage::StoreReplica(config.clone());
-            self.steps.push(PlannerStep::Send { link, message });
+        let mut holders = replica_holders(names);
+        if holders.is_empty() {
+            return;
         }
+        // Planners begin at different runners, so that these get their replicas from several.
+        let first = self.settings.seed as usize % holders.len();
+        holders.rotate_left(first);
+        let links = &mut self.links;
+        let Some(link) = holders.into_iter().find(|l| is_behind(&links[l])) else {
+            return;
+        };
+        if let Some(upstream) = links.get_mut(&link) {
+            upstream.replica_sent = version;
+        }
+        let message = PlannerMessage::StoreReplica(config.clone());
+        self.steps.push(PlannerStep::Send { link, message });
     }
 
     /// Asks a runner for its replica if that is newer than all versions known here.
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -59,8 +59,10 @@
     pub(super) unreported: VecDeque<(u64, QueuedRuns)>,
     /// The number of this planner's runs there.
     pub(super) runs: u32,
-    /// The version of the configuration replica that the runner has stored or was sent.
+    /// The version of the configuration replica that the runner has stored.
     pub(super) replica_version: u64,
+    /// The version of the replica that it was last sent.
+    pub(super) replica_sent: u64,
     /// The evacuated domains that the runner is known to hold.
     pub(super) evacuations: Evacuations,
     /// Whether its failure domain is evacuated.
@@ -81,6 +83,7 @@
             unreported: VecDeque::new(),
             runs: 0,
             replica_version: 0,
+            replica_sent: 0,
             evacuations: Evacuations::default(),
             evacuated: false,
         }
