Planners: a task under which upstreams crash is not started without end

Cause: the end of a run said Lapsed for a crash, a cut and silence alike, no planner counted it, and the next sending of a job began anew. Class: retries whose count does not outlive what is retried.

Change: a runner tells a crash (no process listens, or a new incarnation) from silence, in the ends that exist already: Lapsed for a crash, Stopped for a lease that ran out. Planners count crashes by task, also for the next sendings of the job within 30 s: failed after two under started runs, given up after three that had one which may not have started. Old and new builds: older planners treat both ends alike. Of older runners Lapsed is no crash; a runner tells its level in the highest byte of the number of its link, which older planners only compare within one incarnation.

In the random schedules an upstream that is down now refuses connections.

--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -3,13 +3,23 @@
 use std::sync::Arc;
 
 use chervilring_wire::{JobId, Micros, Name, Resources, RunKey, Time};
+use rustc_hash::FxHashMap;
 
 use super::links::LinkNo;
+use super::state::JobAnswer;
 use crate::runs::route::Route;
 
 /// The interval of the check whether a waiting task can still finish before its caller leaves.
 const RECHECK_INTERVAL: Micros = Micros::from_millis(10);
 
+/// The number of upstreams that may crash under runs of a task before it counts as failed: it may be
+/// what crashes them.
+const MAX_CRASHES: u32 = 2;
+
+/// The number of upstreams that may crash while they have a run of a task, started or not, before it
+/// is given up.
+const MAX_SUSPECTED_CRASHES: u32 = 3;
+
 /// Identifies a caller that waits for an answer. Never reused within a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Caller(pub u64);
@@ -70,6 +80,45 @@
     Done,
 }
 
+/// The number of upstreams that crashed while they had a run of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(super) struct Crashes {
+    /// Those where the run is known to have started.
+    pub(super) under_run: u32,
+    /// All of them: a start whose answer was lost with the upstream may have been what crashed it.
+    pub(super) all: u32,
+}
+
+/// What crashes of upstreams mean for a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CrashVerdict {
+    /// It may be started again.
+    Retry,
+    /// It counts as failed.
+    Failed,
+    /// It is not started again, although it is not known whether its runs had started.
+    GiveUp,
+}
+
+impl Crashes {
+    /// Counts a crash; `has_started` says whether the run is known to have started.
+    pub(super) fn record(&mut self, has_started: bool) {
+        self.all += 1;
+        self.under_run += u32::from(has_started);
+    }
+
+    /// Returns what the crashes so far mean.
+    pub(super) fn verdict(self) -> CrashVerdict {
+        if self.under_run >= MAX_CRASHES {
+            CrashVerdict::Failed
+        } else if self.all >= MAX_SUSPECTED_CRASHES {
+            CrashVerdict::GiveUp
+        } else {
+            CrashVerdict::Retry
+        }
+    }
+}
+
 /// A task of a job.
 #[derive(Debug, Clone)]
 pub(super) struct Task {
@@ -82,6 +131,10 @@
     pub(super) sent_runtime: Micros,
     /// The number of failed attempts.
     pub(super) failures: u32,
+    /// The upstreams that crashed under the task.
+    pub(super) crashes: Crashes,
+    /// The attempt of the latest run that is known to have started.
+    pub(super) started_attempt: u32,
     /// The runner whose upstream the next attempt should avoid: the task last failed or stalled
     /// there.
     pub(super) avoid_runner: Option<Name>,
@@ -89,6 +142,17 @@
     pub(super) restarted: bool,
 }
 
+/// What is known of the tasks of a job that has ended, for when its caller submits it again.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PastJob {
+    /// The highest attempt.
+    pub(super) attempt: u32,
+    /// The upstreams that crashed under a task, by its step and index.
+    pub(super) crashes: FxHashMap<(usize, u32), Crashes>,
+    /// When it is forgotten.
+    pub(super) expires_at: Time,
+}
+
 /// A submitted job that is not answered yet.
 #[derive(Debug, Clone)]
 pub(super) struct Job {
@@ -127,6 +191,27 @@
         }
     }
 
+    /// Returns what is kept of the tasks once the job has ended.
+    pub(super) fn past(&self, expires_at: Time) -> PastJob {
+        let crashed = self.tasks.iter().filter(|t| t.crashes.all > 0);
+        PastJob {
+            attempt: self.tasks.iter().map(|t| t.attempt).max().unwrap_or(0),
+            crashes: crashed.map(|t| ((t.step, t.index), t.crashes)).collect(),
+            expires_at,
+        }
+    }
+
+    /// Returns the answer to a job that is not started again because upstreams crashed under one of
+    /// its tasks.
+    pub(super) fn crash_answer(&self) -> Option<JobAnswer> {
+        let verdicts = self.tasks.iter().map(|t| t.crashes.verdict());
+        verdicts.fold(None, |answer, verdict| match verdict {
+            CrashVerdict::Failed => Some(JobAnswer::Failed),
+            CrashVerdict::GiveUp => answer.or(Some(JobAnswer::GaveUp)),
+            CrashVerdict::Retry => answer,
+        })
+    }
+
     /// Returns whether all tasks are done.
     pub(super) fn is_done(&self) -> bool {
         self.tasks.iter().all(|t| t.state == TaskState::Done)
--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -10,8 +10,8 @@
 use super::run_ends::best_speed;
 use super::state::{JobAnswer, Planner, PlannerStep, Refusal};
 
-/// How long the attempt numbers of an answered job are kept: callers resubmit within seconds.
-const PAST_ATTEMPTS_AGE: Micros = Micros::from_secs(30);
+/// How long the tasks of an ended job are remembered: callers resubmit within seconds.
+const PAST_JOB_AGE: Micros = Micros::from_secs(30);
 
 impl Planner {
     /// Ends a job that is completed or can no longer be served.
@@ -142,11 +142,8 @@
             return;
         };
         self.job_seqs.remove(&job.submission.id);
-        if let Some(attempt) = job.tasks.iter().map(|t| t.attempt).max() {
-            let expires = now + PAST_ATTEMPTS_AGE;
-            self.past_attempts
-                .insert(job.submission.id, (attempt, expires));
-        }
+        let past = job.past(now + PAST_JOB_AGE);
+        self.past_jobs.insert(job.submission.id, past);
         for (link, runs) in runs_by_link(&job) {
             for run in &runs {
                 self.runs.remove(run);
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -62,13 +62,15 @@
             RunnerMessage::CloseLink => self.close_unneeded_link(link),
             RunnerMessage::State(state) => self.update_state(now, link, state),
             RunnerMessage::Started(run) => {
-                if let Some(&(seq, _)) = self
+                if let Some(&(seq, index)) = self
                     .runs
                     .get(&run)
                     .filter(|_| self.was_sent_over(&run, link))
                 {
-                    let job = self.jobs.get_mut(&seq);
-                    job.map(|j| j.started_at.get_or_insert(now));
+                    if let Some(job) = self.jobs.get_mut(&seq) {
+                        job.started_at.get_or_insert(now);
+                        job.tasks[index].started_attempt = run.attempt;
+                    }
                     self.check_job(now, seq);
                 }
             }
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -24,7 +24,7 @@
 
 pub use admission::{JobTimes, start_deadline};
 pub use choice::{Candidate, Choice, TaskTimes, choose_upstream};
-pub use event::PlannerEvent;
+pub use event::{LossCause, PlannerEvent};
 pub use health::Health;
 pub use job::{Caller, NewJob, Step};
 pub use links::LinkNo;
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -25,7 +25,7 @@
             self.profiles
                 .retain(|_, p| now.duration_since(p.last_seen) < PROFILE_AGE);
             self.resubmissions.forget_idle_routes(now);
-            self.past_attempts.retain(|_, (_, expires)| now < *expires);
+            self.past_jobs.retain(|_, p| now < p.expires_at);
         }
         let rows = self.jobs.iter().filter(|(_, j)| j.next_check() <= now);
         let due: Vec<u64> = rows.map(|(&seq, _)| seq).collect();
--- a/crates/chervilring_core/src/runs/planner/run_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/run_ends.rs
@@ -37,7 +37,9 @@
         };
         job.started_at.get_or_insert(now);
         let task = &mut job.tasks[index];
-        let name = self.links.get(&link).map(|u| u.name.clone());
+        let upstream = self.links.get(&link);
+        let tells_crashes = upstream.is_some_and(|u| u.source.tells_crashes());
+        let name = upstream.map(|u| u.name.clone());
         let profile = name.clone().and_then(|n| self.profiles.get_mut(&n));
         match end {
             RunEnd::Done => {
@@ -62,6 +64,16 @@
                     self.requeue_task(now, run, LossCause::Ended(end));
                 }
             }
+            RunEnd::Lapsed if tells_crashes => {
+                task.crashes.record(task.started_attempt == run.attempt);
+                match job.crash_answer() {
+                    None => self.requeue_task(now, run, LossCause::Ended(end)),
+                    Some(answer) => {
+                        self.log_lost(run, LossCause::Ended(end));
+                        self.answer_job(now, seq, answer);
+                    }
+                }
+            }
             RunEnd::Stopped | RunEnd::Lapsed => self.requeue_task(now, run, LossCause::Ended(end)),
         }
     }
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -9,7 +9,7 @@
 
 use super::admission::{JobTimes, start_deadline};
 use super::event::PlannerEvent;
-use super::job::{Caller, Job, NewJob, Task, TaskState};
+use super::job::{Caller, Job, NewJob, PastJob, Task, TaskState};
 use super::links::LinkNo;
 use super::resubmission::{JobArrival, ResubmissionDetector};
 use super::settings::PlannerSettings;
@@ -25,7 +25,7 @@
 pub enum JobAnswer {
     /// All tasks are done.
     Completed,
-    /// A task has failed as many times as its route allows.
+    /// A task has failed as many times as its route allows, or upstreams have crashed under it.
     Failed,
     /// No task has run, and none will.
     Refused(Refusal),
@@ -99,8 +99,8 @@
     /// The earliest time at which the next runner may be asked for its replica.
     pub(super) next_request: Time,
     pub(super) random: fastrand::Rng,
-    /// The highest attempt of each job that was answered recently, and when the entry expires.
-    pub(super) past_attempts: FxHashMap<JobId, (u32, Time)>,
+    /// What is known of the tasks of jobs that have ended recently.
+    pub(super) past_jobs: FxHashMap<JobId, PastJob>,
     /// Tells resubmissions from new jobs.
     pub(super) resubmissions: ResubmissionDetector,
     /// When the next heartbeats are due.
@@ -128,7 +128,7 @@
             links_due: now + FIRST_LINKS,
             newest_replica: 0,
             next_request: now,
-            past_attempts: FxHashMap::default(),
+            past_jobs: FxHashMap::default(),
             resubmissions: ResubmissionDetector::default(),
             next_heartbeat: now + HEARTBEAT_INTERVAL,
             capacity_changed: false,
@@ -170,14 +170,9 @@
         self.last_seq += 1;
         let seq = self.last_seq;
         self.job_seqs.insert(submission.id, seq);
-        // Continues the attempt numbers of an earlier submission, so that a late message about one
-        // of its runs cannot match a run of this job.
-        let attempt = self
-            .past_attempts
-            .get(&submission.id)
-            .map_or(0, |(attempt, _)| *attempt);
+        let past = self.past_jobs.get(&submission.id);
         let job = Job {
-            tasks: tasks(&submission, now, attempt),
+            tasks: tasks(&submission, now, past),
             submission,
             callers: vec![caller],
             arrived: now,
@@ -191,6 +186,10 @@
             cancelling: false,
         };
         self.jobs.insert(seq, job);
+        if let Some(answer) = self.jobs.get(&seq).and_then(Job::crash_answer) {
+            self.answer_job(now, seq, answer);
+            return;
+        }
         if self.is_unfit(seq) {
             self.give_up(now, seq, Refusal::Unfit);
             return;
@@ -294,8 +293,13 @@
     }
 }
 
-/// Creates the tasks of a new job, which continue from `attempt`.
-fn tasks(submission: &NewJob, now: Time, attempt: u32) -> Vec<Task> {
+/// Creates the tasks of a new job.
+///
+/// They continue the attempt numbers of an earlier submission, so that a late message about one of
+/// its runs cannot match a run of this job, and its counts of crashes.
+fn tasks(submission: &NewJob, now: Time, past: Option<&PastJob>) -> Vec<Task> {
+    let attempt = past.map_or(0, |p| p.attempt);
+    let crashes = |step, index| past.and_then(|p| p.crashes.get(&(step, index)).copied());
     let steps = submission.steps.iter().enumerate();
     let of_step = |(step, row): (usize, &super::job::Step)| {
         let sent_runtime = row.declared_runtime;
@@ -306,6 +310,8 @@
             attempt,
             sent_runtime,
             failures: 0,
+            crashes: crashes(step, index).unwrap_or_default(),
+            started_attempt: 0,
             avoid_runner: None,
             restarted: false,
         })
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use chervilring_wire::{
-    DomainName, Evacuations, Micros, Name, QueuedRuns, Resources, Time, UpstreamState,
+    DomainName, Evacuations, Micros, Name, QueuedRuns, Resources, RunnerLevel, Time, UpstreamState,
 };
 
 use super::health::Health;
@@ -31,6 +31,11 @@
 }
 
 impl LinkSource {
+    /// Returns whether [`RunEnd::Lapsed`](chervilring_wire::RunEnd::Lapsed) stands for crashes only on the link.
+    pub(super) fn tells_crashes(&self) -> bool {
+        RunnerLevel::of_link(self.link_seq) >= RunnerLevel::CRASHES
+    }
+
     /// Returns whether this is an earlier link of the same incarnation.
     pub(super) fn is_before(&self, other: &Self) -> bool {
         self.incarnation == other.incarnation && self.link_seq < other.link_seq
--- a/crates/chervilring_core/src/runs/runner/call.rs
+++ b/crates/chervilring_core/src/runs/runner/call.rs
@@ -110,6 +110,8 @@
     Listed(RunLists),
     /// No answer arrived: the upstream may have carried out the call, or may do so later.
     NoAnswer,
+    /// The connection was refused: no process listens at the address of the upstream.
+    NotListening,
 }
 
 /// An upstream's lists of its runs.
--- a/crates/chervilring_core/src/runs/runner/link_systems.rs
+++ b/crates/chervilring_core/src/runs/runner/link_systems.rs
@@ -1,6 +1,6 @@
 //! Upkeep of the links to planners: hellos, closing, loss, and state messages.
 
-use chervilring_wire::{Micros, RunKey, RunnerMessage, Time, UpstreamState};
+use chervilring_wire::{Micros, RunKey, RunnerLevel, RunnerMessage, Time, UpstreamState};
 use rustc_hash::FxHashSet;
 
 use super::event::RunnerEvent;
@@ -74,7 +74,7 @@
                 name: self.name.clone(),
                 domain: self.domain.clone(),
                 incarnation: self.incarnation,
-                link_seq: link.0,
+                link_seq: RunnerLevel::CRASHES.mark_link(link.0),
                 replica_version,
             };
             self.steps.push(RunnerStep::Send { link, message });
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -7,7 +7,7 @@
 use super::event::RunnerEvent;
 use super::pace::Progress;
 use super::state::{Run, RunState, Runner, RunnerStep};
-use super::upstream::Reachability;
+use super::upstream::{Reachability, Silence};
 use crate::runs::planner::LinkNo;
 
 /// The interval at which progress is reported to planners.
@@ -41,6 +41,10 @@
             } => self.raise_fencing_token(),
             _ => {
                 upstream.record_missed_poll(now);
+                upstream.silence = match outcome {
+                    CallOutcome::NotListening => Silence::Crashed,
+                    _ => Silence::Unexplained,
+                };
                 if upstream.reachability == Reachability::Answering {
                     upstream.reachability = Reachability::Missed;
                     self.log_no_answer(None, "hold");
@@ -72,7 +76,12 @@
             if let Some(upstream) = &mut self.upstream {
                 upstream.acked = upstream.acked.max(row.seq);
             }
-            self.finish_run(now, row.run, row.end);
+            // An upstream that lists the end of a run has not crashed under it: its lease ran out.
+            let end = match row.end {
+                RunEnd::Lapsed => RunEnd::Stopped,
+                end => end,
+            };
+            self.finish_run(now, row.run, end);
         }
         let mut has_unknown = false;
         for row in &lists.active {
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -190,7 +190,8 @@
         match outcome {
             CallOutcome::Done { .. } | CallOutcome::Listed(_) => self.mark_running(now, run),
             CallOutcome::Refused { reason, .. } => self.handle_start_refusal(now, run, *reason),
-            CallOutcome::NoAnswer => {
+            // The refused connection may be a retry, after a start that was carried out.
+            CallOutcome::NoAnswer | CallOutcome::NotListening => {
                 row.maybe_started = true;
                 self.schedule_retry(sent, run, "start");
             }
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -64,6 +64,7 @@
         }
         match outcome {
             CallOutcome::NoAnswer
+            | CallOutcome::NotListening
             | CallOutcome::Refused {
                 reason: CallRefusal::Unhealthy,
                 ..
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -5,7 +5,7 @@
 use super::call::{CallOutcome, CallRefusal, UpstreamCall};
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
-use super::upstream::{Availability, Reachability, Upstream};
+use super::upstream::{Availability, Reachability, Silence, Upstream};
 use crate::runs::bounds::LEASE_DURATION;
 
 /// How long the upstream may delay the answer to a poll while it has runs. An end in a lost answer
@@ -66,7 +66,7 @@
         let clock = match outcome {
             CallOutcome::Done { clock } | CallOutcome::Refused { clock, .. } => *clock,
             CallOutcome::Listed(lists) => Some(lists.clock),
-            CallOutcome::NoAnswer => None,
+            CallOutcome::NoAnswer | CallOutcome::NotListening => None,
         };
         let Some(upstream) = &mut self.upstream else {
             return;
@@ -81,7 +81,8 @@
                 ..
             }
         );
-        if *outcome != CallOutcome::NoAnswer && !is_other {
+        let is_missing = matches!(outcome, CallOutcome::NoAnswer | CallOutcome::NotListening);
+        if !is_missing && !is_other {
             upstream.last_answer = now;
         }
     }
@@ -181,6 +182,11 @@
             return;
         }
         upstream.reachability = Reachability::Expired;
+        // Silence alone does not tell whether the upstream has crashed.
+        let end = match upstream.silence {
+            Silence::Crashed => RunEnd::Lapsed,
+            Silence::Unexplained => RunEnd::Stopped,
+        };
         let id = upstream.report.incarnation.id.clone();
         let sent = self.runs.iter_mut().filter(|(_, r)| r.link.is_some());
         let mut runs = 0;
@@ -190,7 +196,6 @@
                 continue;
             };
             runs += 1;
-            let end = RunEnd::Lapsed;
             let elapsed = now.duration_since(row.accepted);
             let message = RunnerMessage::Ended { run, end };
             self.steps.push(RunnerStep::Send { link, message });
--- a/crates/chervilring_core/src/runs/runner/upstream.rs
+++ b/crates/chervilring_core/src/runs/runner/upstream.rs
@@ -30,6 +30,15 @@
     Expired,
 }
 
+/// What a poll without answer tells of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Silence {
+    /// Nothing: it may be slow, cut off or gone.
+    Unexplained,
+    /// No process listens at its address.
+    Crashed,
+}
+
 /// An upstream's report about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -71,6 +80,8 @@
     pub(super) next_poll: Time,
     /// The number of polls without answer since the last answered one.
     pub(super) missed_polls: u32,
+    /// What the last poll without answer tells.
+    pub(super) silence: Silence,
     /// Whether the report is from this incarnation.
     pub(super) report_current: bool,
 }
@@ -87,6 +98,7 @@
             poll_pending: false,
             next_poll: Time::default(),
             missed_polls: 0,
+            silence: Silence::Unexplained,
             report_current: true,
         }
     }
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -56,7 +56,8 @@
         let incarnation = self.runners[r].incarnation;
         let lost = CallOutcome::NoAnswer;
         if !self.upstreams[r].up {
-            self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
+            let refused = CallOutcome::NotListening;
+            self.at(CALL_TIME, Event::Called(r, incarnation, now, call, refused));
             return;
         }
         let order = !matches!(call, UpstreamCall::Poll { .. });
--- a/crates/chervilring_daemon/src/runs/planner_report.rs
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -1,6 +1,7 @@
 //! The metrics of a planner.
 
-use chervilring_core::runs::planner::{JobAnswer, PlannerEvent};
+use chervilring_core::runs::planner::{JobAnswer, LossCause, PlannerEvent};
+use chervilring_wire::RunEnd;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 use crate::metrics::Metrics;
@@ -23,6 +24,7 @@
     abandoned: Counter<u64>,
     met: Counter<u64>,
     lost: Counter<u64>,
+    crashes: Counter<u64>,
     links: Counter<u64>,
     out: Counter<u64>,
     spans: Histogram<f64>,
@@ -53,6 +55,7 @@
             abandoned: metrics.counter("jobs_abandoned", "Jobs whose callers left"),
             met: metrics.counter("jobs_in_time", "Jobs that were done within their objective"),
             lost: metrics.counter("runs_lost", "Runs that came to nothing"),
+            crashes: metrics.counter("runs_crashed", "Runs under which their upstream crashed"),
             links: metrics.counter("links_lost", "Links to runners that were lost"),
             out: metrics.counter(
                 "upstreams_out",
@@ -67,7 +70,11 @@
     /// Counts an event.
     pub(super) fn count(&self, event: &PlannerEvent) {
         match event {
-            PlannerEvent::RunLost { .. } => self.lost.add(1, &[]),
+            PlannerEvent::RunLost { cause, .. } => {
+                self.lost.add(1, &[]);
+                let is_crash = *cause == LossCause::Ended(RunEnd::Lapsed);
+                self.crashes.add(u64::from(is_crash), &[]);
+            }
             PlannerEvent::Abandoned { .. } => self.abandoned.add(1, &[]),
             PlannerEvent::LinkDown { .. } => self.links.add(1, &[]),
             PlannerEvent::UpstreamEjected { .. } => self.out.add(1, &[]),
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -27,7 +27,7 @@
 pub use ring::{InDoubt, Member, PastRing, Ring, home_name};
 pub use run::{
     ConfigReplica, Evacuations, JobId, PlannerMessage, QueuedRuns, RefuseReason, Resources, RunEnd,
-    RunKey, RunProgress, RunnerMessage, StartRuns, UpstreamState,
+    RunKey, RunProgress, RunnerLevel, RunnerMessage, StartRuns, UpstreamState,
 };
 pub use submission::{
     Failure, Kind, Origin, Progress, Query, Reason, Reply, Submission, TaskOutcome, TaskOutput,
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -206,7 +206,8 @@
         /// The incarnation of the runner.
         #[serde(rename = "life")]
         incarnation: u64,
-        /// The sequence number of the link. It increases with each link of the same incarnation.
+        /// The sequence number of the link, with the [`RunnerLevel`] of its messages. It increases with
+        /// each link of the same incarnation.
         #[serde(rename = "link")]
         link_seq: u64,
         /// The version of the configuration replica that the runner has stored, or zero for none.
@@ -249,6 +250,31 @@
     Evacuations(Evacuations),
 }
 
+/// The level of the messages of a runner. Each level changes what a message means that processes of
+/// lower levels read as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RunnerLevel(u8);
+
+impl RunnerLevel {
+    /// From this level on, [`RunEnd::Lapsed`] says that the upstream has crashed. Before, it also stood
+    /// for a lease that had expired.
+    pub const CRASHES: Self = Self(1);
+
+    /// The place of the level in a sequence number, in bits: processes without levels compare the
+    /// numbers of one incarnation only and leave the highest byte zero.
+    const SHIFT: u32 = 56;
+
+    /// Returns the level that the sequence number of a link tells.
+    pub fn of_link(link_seq: u64) -> Self {
+        Self((link_seq >> Self::SHIFT) as u8)
+    }
+
+    /// Returns a sequence number of a link that tells this level.
+    pub fn mark_link(self, link_seq: u64) -> u64 {
+        link_seq | u64::from(self.0) << Self::SHIFT
+    }
+}
+
 /// The state of an upstream as reported to one planner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamState {
@@ -325,8 +351,8 @@
     Done,
     /// The task or the upstream failed.
     Failed,
-    /// The run was stopped on request.
+    /// The run was stopped: on request, or as its lease expired.
     Stopped,
-    /// The lease of the run expired, or its upstream was lost.
+    /// The upstream crashed while it had the run, or, below [`RunnerLevel::CRASHES`], the lease expired.
     Lapsed,
 }
