Planners: a configuration is taken in although the evacuations cannot be read

Class: two independent results in one error.

Change: a reading brings both apart, each with its own error; what can be read is taken in, and the whole is read again. The first configuration still waits for its evacuations: no job is served without them.

--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -52,9 +52,18 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OperatorReading {
     /// The newest configuration with its version, if there is one.
-    pub config: Option<(u64, Pair)>,
-    /// The evacuated failure domains.
-    pub evacuations: EvacuationReading,
+    pub config: Result<Option<(u64, Pair)>, StoreError>,
+    /// The evacuated failure domains. They may take a call of their own.
+    pub evacuations: Result<EvacuationReading, StoreError>,
+}
+
+impl OperatorReading {
+    /// Returns the revision of the store that the reading shows, or why a part of it is missing.
+    fn revision(&self) -> Result<u64, &StoreError> {
+        self.config.as_ref()?;
+        let reading = self.evacuations.as_ref()?;
+        Ok(reading.evacuations.revision)
+    }
 }
 
 /// What has become of the operators' keys since a revision of the store.
@@ -232,14 +241,18 @@
         }
     }
 
-    /// Reads all that operators have written.
+    /// Reads all that operators have written. What can be read is taken in, whatever else cannot.
     fn read(&mut self, registry: &Registry, well: &mut bool, tell: &impl Fn(StoreEvent)) {
         let Some(reading) = reported((registry.operator)(), well, tell) else {
             return;
         };
-        self.revision = reading.evacuations.evacuations.revision;
-        tell(StoreEvent::Evacuations(reading.evacuations));
-        if let Some(found) = reading.config {
+        if let Ok(revision) = reading.revision() {
+            self.revision = revision;
+        }
+        if let Ok(evacuations) = reading.evacuations {
+            tell(StoreEvent::Evacuations(evacuations));
+        }
+        if let Ok(Some(found)) = reading.config {
             self.take_config(found, tell);
         }
     }
@@ -287,9 +300,14 @@
     well: &mut bool,
     tell: &impl Fn(StoreEvent),
 ) -> Option<OperatorReading> {
-    let revision = outcome.as_ref().map(|r| r.evacuations.evacuations.revision);
+    let revision = match &outcome {
+        Ok(reading) => reading.revision(),
+        Err(error) => Err(error),
+    };
     report_read(revision.map_err(ToString::to_string), tell);
-    checked(outcome, well, tell)
+    report(well, revision.err().cloned(), tell);
+    // An error was told above.
+    outcome.ok()
 }
 
 fn report_read(outcome: Result<u64, String>, tell: &impl Fn(StoreEvent)) {
@@ -340,10 +358,13 @@
             let Some(reading) = reported(outcome, well, tell) else {
                 continue;
             };
-            let revision = reading.evacuations.evacuations.revision;
             // No job is served by a configuration without the evacuations that were read with it.
-            tell(StoreEvent::Evacuations(reading.evacuations));
-            if let Some(found) = reading.config {
+            let Ok(evacuations) = reading.evacuations else {
+                continue;
+            };
+            let revision = evacuations.evacuations.revision;
+            tell(StoreEvent::Evacuations(evacuations));
+            if let Ok(Some(found)) = reading.config {
                 return (revision, found);
             }
         }
--- a/crates/chervilring_daemon/src/runs/tests.rs
+++ b/crates/chervilring_daemon/src/runs/tests.rs
@@ -77,8 +77,8 @@
 
 fn reading(config: Option<(u64, Pair)>) -> OperatorReading {
     OperatorReading {
-        config,
-        evacuations: EvacuationReading::default(),
+        config: Ok(config),
+        evacuations: Ok(EvacuationReading::default()),
     }
 }
 
