--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod candidates;
 mod choice;
+mod crashes;
 mod evacuation;
 mod event;
 mod health;
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -31,7 +31,8 @@
 }
 
 impl LinkSource {
-    /// Returns whether [`RunEnd::Lapsed`](chervilring_wire::RunEnd::Lapsed) stands for crashes only on the link.
+    /// Returns whether [`RunEnd::Lapsed`](chervilring_wire::RunEnd::Lapsed) stands for crashes only on
+    /// the link.
     pub(super) fn tells_crashes(&self) -> bool {
         RunnerLevel::of_link(self.link_seq) >= RunnerLevel::CRASHES
     }
--- a/crates/chervilring_daemon/src/runs/mod.rs
+++ b/crates/chervilring_daemon/src/runs/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod dialect;
 mod keeper;
+mod operator;
 mod pause;
 mod planner;
 mod planner_log;
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -16,6 +16,7 @@
 
 use self::source::ConfigSource;
 use super::dialect::CallerDialect;
+use super::operator;
 use super::pause::PauseWatch;
 use super::planner_log;
 use super::planner_report::PlannerReport;
@@ -153,7 +154,7 @@
 /// Starts the threads that follow the store.
 fn follow_store(inbox: &Inbox<Told<PlannerConfig>>, registry: Registry, runners: SocketAddr) {
     let tell = inbox.clone();
-    registry::follow_operator(registry.clone(), move |event| tell.push(Told::Store(event)));
+    operator::follow_operator(registry.clone(), move |event| tell.push(Told::Store(event)));
     let tell = inbox.clone();
     registry::keep_listed(registry, runners, move |event| {
         tell.push(Told::Store(event));
--- a/crates/chervilring_daemon/src/runs/tests.rs
+++ b/crates/chervilring_daemon/src/runs/tests.rs
@@ -11,9 +11,8 @@
 use chervilring_wire::Resources;
 
 use super::keeper::Keeper;
-use super::registry::{
-    EvacuationReading, OperatorChange, OperatorReading, Registry, StoreEvent, follow_operator,
-};
+use super::operator::follow_operator;
+use super::registry::{EvacuationReading, OperatorChange, OperatorReading, Registry, StoreEvent};
 
 /// A store of one key.
 #[derive(Default)]
