Room: one order of work for planners and runners, and the messages for room that is short

Change: planners tell runners how urgent runs are (priority, slack, relative work, whether siblings have started), and both order by one function, whose bound on waiting is a property test. A planner tells that it knows the new messages by one of its own, a runner by its level, so that older processes on either side receive what they received before.

--- a/crates/chervilring_core/src/runs/mod.rs
+++ b/crates/chervilring_core/src/runs/mod.rs
@@ -8,6 +8,7 @@
 
 mod bounds;
 mod evacuation;
+mod order;
 pub mod planner;
 mod route;
 pub mod runner;
@@ -15,6 +16,7 @@
 
 pub use bounds::{HEARTBEAT_INTERVAL, LEASE_DURATION, LINK_TIMEOUT, MAX_ORPHAN_TIME, PAUSE_LIMIT};
 pub use evacuation::EvacuationSource;
+pub use order::WorkOrder;
 pub use planner::Planner;
 pub use route::{Route, RouteTable};
 pub use runner::Runner;
--- a/crates/chervilring_core/src/runs/planner/candidates.rs
+++ b/crates/chervilring_core/src/runs/planner/candidates.rs
@@ -67,13 +67,12 @@
         }
         let declared_runtime = self.runtime_at(row, state);
         let run_time = expected_run_time(state.speed, declared_runtime);
-        let latest_start = job.latest_useful_start(now, run_time);
-        let queue_timeout = now.duration_until(latest_start);
+        let remaining = upstream.remaining(now, job, run_time);
         Some(UpstreamSlot {
             link,
             name: &upstream.name,
             state,
-            requested: upstream.resources_ahead(queue_timeout),
+            requested: upstream.resources_ahead(remaining),
             declared_runtime,
             run_time,
             max_runs: self.max_runs(now, job, step, link, upstream)?,
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -119,6 +119,8 @@
     pub(super) objective: Time,
     /// The latest time at which the first task may start.
     pub(super) start_deadline: Time,
+    /// How long it would keep all processors busy that its planner can reach.
+    pub(super) work: Micros,
     /// When the first task is known to have started.
     pub(super) started_at: Option<Time>,
     /// Whether its queued runs are being cancelled. The job is refused once none of them can start.
@@ -245,6 +247,16 @@
 }
 
 impl NewJob {
+    /// Returns the work of all tasks: their processor time, in thousandths of a core times
+    /// microseconds.
+    pub fn work(&self) -> u64 {
+        let of_step = |s: &Step| {
+            let each = s.demand.cpu.saturating_mul(s.declared_runtime.0);
+            each.saturating_mul(u64::from(s.count))
+        };
+        self.steps.iter().map(of_step).fold(0, u64::saturating_add)
+    }
+
     /// Returns the declared run time of the longest chain of dependent steps.
     pub fn critical_path(&self) -> Micros {
         let mut ends: Vec<Micros> = Vec::with_capacity(self.steps.len());
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -1,6 +1,6 @@
 //! Messages from runners, and the opening and closing of their links.
 
-use chervilring_wire::{RunnerMessage, Time, UpstreamState};
+use chervilring_wire::{PlannerMessage, RunnerMessage, Time, UpstreamState};
 
 use super::event::{LossCause, PlannerEvent};
 use super::links::LinkNo;
@@ -88,6 +88,10 @@
                 }
             }
             RunnerMessage::Progress(rows) => self.check_progress(now, &rows),
+            RunnerMessage::Claimed(_)
+            | RunnerMessage::Load(_)
+            | RunnerMessage::RunTimes(_)
+            | RunnerMessage::Doubts(_) => {}
         }
     }
 
@@ -123,6 +127,10 @@
         let profile = self.profiles.entry(upstream.name.clone()).or_default();
         profile.last_seen = now;
         upstream.evacuated = self.evacuations.contains(&upstream.domain);
+        if upstream.source.knows_room() {
+            let message = PlannerMessage::KnowsRoom;
+            self.steps.push(PlannerStep::Send { link, message });
+        }
         self.links.insert(link, upstream);
         self.send_heartbeat(link);
         self.share_evacuations();
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -29,7 +29,6 @@
 pub use health::Health;
 pub use job::{Caller, NewJob, Step};
 pub use links::LinkNo;
-pub use order::latest_start;
 pub use resubmission::{JobArrival, ResubmissionDetector};
 pub use settings::PlannerSettings;
 pub use state::{JobAnswer, Planner, PlannerStep, Refusal};
--- a/crates/chervilring_core/src/runs/planner/order.rs
+++ b/crates/chervilring_core/src/runs/planner/order.rs
@@ -1,12 +1,45 @@
-//! The order in which waiting jobs are placed.
-//!
-//! Orders jobs by their latest start and not by arrival. In a burst, a job with little slack would
-//! miss its objective behind a few long jobs that have time to wait.
+//! The urgency of waiting jobs, by which planners order them and runners their tasks.
 
-use chervilring_wire::{Micros, Time};
+use chervilring_wire::{Micros, Time, Urgency};
 
-/// Returns the time by which a job must start to meet its objective. The job with the earliest time
-/// goes first.
-pub fn latest_start(objective: Time, critical_path: Micros) -> Time {
-    objective - critical_path
+use super::job::{Job, NewJob};
+use super::state::Planner;
+use super::upstream::Upstream;
+use crate::runs::order::WorkOrder;
+
+impl Job {
+    /// Returns the urgency of a task that runs for `run_time`.
+    pub(super) fn urgency(&self, now: Time, run_time: Micros) -> Urgency {
+        let latest_start = self.objective - run_time;
+        Urgency {
+            priority: self.submission.route.priority,
+            slack: now.duration_until(latest_start),
+            work: self.work,
+            started: self.started_at.is_some(),
+            timely: now < latest_start,
+        }
+    }
+}
+
+impl Upstream {
+    /// Returns the time by which the runner orders a task of a job that runs for `run_time`: runners
+    /// that do not know the order of work go by how long the run may wait.
+    pub(super) fn remaining(&self, now: Time, job: &Job, run_time: Micros) -> Micros {
+        if self.source.knows_room() {
+            return WorkOrder::new(now, &job.urgency(now, run_time)).remaining(now);
+        }
+        now.duration_until(job.latest_useful_start(now, run_time))
+    }
+}
+
+impl Planner {
+    /// Returns how long a job would keep all processors busy that accept its runs: the delay that it
+    /// imposes on the work behind it.
+    pub(super) fn relative_work(&self, submission: &NewJob) -> Micros {
+        let service = submission.route.service.as_str();
+        let accepting = self.links.values().filter(|u| u.accepts(service));
+        let states = accepting.filter_map(|u| u.state.as_ref());
+        let total_cpu: u64 = states.map(|(s, _)| s.capacity.cpu).sum();
+        Micros(submission.work() / total_cpu.max(1))
+    }
 }
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -5,10 +5,10 @@
 use super::event::{LossCause, PlannerEvent};
 use super::job::{Job, TaskState};
 use super::links::LinkNo;
-use super::order::latest_start;
 use super::state::{Planner, PlannerStep, Refusal};
 use super::upstream::Upstream;
 use crate::runs::bounds::{HEARTBEAT_INTERVAL, LINK_TIMEOUT, MAX_ORPHAN_TIME};
+use crate::runs::order::WorkOrder;
 
 /// How long the profile of an upstream without a link is kept.
 const PROFILE_AGE: Micros = Micros::from_secs(600);
@@ -71,23 +71,16 @@
         }
     }
 
-    /// Places waiting tasks, those of started jobs first, then those with the earliest latest
-    /// start.
+    /// Places waiting tasks in the order of work.
     fn schedule(&mut self, now: Time) {
+        let waiting = self.jobs.iter().filter(|(_, j)| j.has_waiting_task());
         let row = |(&seq, job): (&u64, &Job)| {
-            let latest_start = latest_start(job.objective, job.submission.critical_path());
-            // Jobs that can no longer meet their objective get the remaining capacity.
-            let rank = match (job.may_have_started(), now < latest_start) {
-                (true, true) => 0,
-                (false, true) => 1,
-                (true, false) => 2,
-                (false, false) => 3,
-            };
-            job.has_waiting_task().then_some((rank, latest_start, seq))
+            let urgency = job.urgency(now, job.submission.critical_path());
+            (WorkOrder::new(now, &urgency), seq)
         };
-        let mut order: Vec<(u8, Time, u64)> = self.jobs.iter().filter_map(row).collect();
+        let mut order: Vec<(WorkOrder, u64)> = waiting.map(row).collect();
         order.sort_unstable();
-        for (_, _, seq) in order {
+        for (_, seq) in order {
             self.place_job(now, seq);
         }
     }
--- a/crates/chervilring_core/src/runs/planner/sending.rs
+++ b/crates/chervilring_core/src/runs/planner/sending.rs
@@ -1,7 +1,7 @@
 //! The start messages for placed tasks.
 
 use chervilring_wire::{
-    Micros, Name, PlannerMessage, QueuedRuns, Resources, RunKey, StartRuns, Time,
+    Micros, Name, OrderedStart, PlannerMessage, QueuedRuns, Resources, RunKey, StartRuns, Time,
 };
 
 use super::event::PlannerEvent;
@@ -48,8 +48,9 @@
             let queue_timeout =
                 now.duration_until(job.latest_useful_start(now, placement.run_time));
             let row = &job.submission.steps[step];
+            let urgency = job.urgency(now, placement.run_time);
             let queued = QueuedRuns {
-                queue_timeout,
+                queue_timeout: upstream.remaining(now, job, placement.run_time),
                 demand: total(&row.demand, runs.len()),
             };
             let count = runs.len() as u32;
@@ -62,9 +63,14 @@
                 queue_timeout,
                 runs,
             };
+            let message = if upstream.source.knows_room() {
+                PlannerMessage::StartOrdered(OrderedStart { start, urgency })
+            } else {
+                PlannerMessage::Start(start)
+            };
             self.steps.push(PlannerStep::Send {
                 link: placement.link,
-                message: PlannerMessage::Start(start),
+                message,
             });
             runners.push((placement.name, count));
         }
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -173,6 +173,7 @@
         let past = self.past_jobs.get(&submission.id);
         let job = Job {
             tasks: tasks(&submission, now, past),
+            work: self.relative_work(&submission),
             submission,
             callers: vec![caller],
             arrived: now,
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -37,6 +37,11 @@
         RunnerLevel::of_link(self.link_seq) >= RunnerLevel::CRASHES
     }
 
+    /// Returns whether the runner knows the messages on room that is short.
+    pub(super) fn knows_room(&self) -> bool {
+        RunnerLevel::of_link(self.link_seq) >= RunnerLevel::ROOM
+    }
+
     /// Returns whether this is an earlier link of the same incarnation.
     pub(super) fn is_before(&self, other: &Self) -> bool {
         self.incarnation == other.incarnation && self.link_seq < other.link_seq
@@ -108,9 +113,9 @@
         self.state = Some((state, now));
     }
 
-    /// Returns the resources that go ahead of a run with this queue timeout: those of runs queued
+    /// Returns the resources that go ahead of a run that is due after this time: those of runs queued
     /// there, and of start messages that the reported state does not include yet.
-    pub(super) fn resources_ahead(&self, queue_timeout: Micros) -> Resources {
+    pub(super) fn resources_ahead(&self, remaining: Micros) -> Resources {
         let Some((state, _)) = &self.state else {
             return Resources::default();
         };
@@ -118,8 +123,8 @@
             .queued
             .iter()
             .chain(self.unreported.iter().map(|(_, q)| q));
-        // Runs in the same step of queue timeouts may go first or not. All are counted.
-        let step = queue_timeout_bucket(queue_timeout);
+        // Runs in the same step of times may go first or not. All are counted.
+        let step = queue_timeout_bucket(remaining);
         let ahead = waiting.filter(|q| q.queue_timeout <= step);
         ahead.fold(Resources::default(), |sum, q| sum.saturating_add(&q.demand))
     }
--- a/crates/chervilring_core/src/runs/runner/link_systems.rs
+++ b/crates/chervilring_core/src/runs/runner/link_systems.rs
@@ -74,7 +74,7 @@
                 name: self.name.clone(),
                 domain: self.domain.clone(),
                 incarnation: self.incarnation,
-                link_seq: RunnerLevel::CRASHES.mark_link(link.0),
+                link_seq: RunnerLevel::ROOM.mark_link(link.0),
                 replica_version,
             };
             self.steps.push(RunnerStep::Send { link, message });
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -30,6 +30,8 @@
     pub(super) close_after: Option<Time>,
     /// The evacuated domains that the planner is known to hold.
     pub(super) evacuations: Evacuations,
+    /// Whether the planner knows the messages on room that is short.
+    pub(super) knows_room: bool,
 }
 
 impl Link {
@@ -44,6 +46,7 @@
             sent_state: None,
             close_after: None,
             evacuations: Evacuations::default(),
+            knows_room: false,
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -1,18 +1,21 @@
 //! Runs from their request to their start or refusal.
 
 use chervilring_wire::{
-    RefuseReason, Resources, RunEnd, RunKey, RunnerMessage, ServiceName, StartRuns, Time,
+    OrderedStart, RefuseReason, Resources, RunEnd, RunKey, RunnerMessage, ServiceName, Time,
 };
 
 use super::call::{CallOutcome, CallRefusal};
 use super::event::RunnerEvent;
 use super::pace::RunPace;
 use super::state::{Run, RunState, Runner, RunnerStep};
+use crate::runs::order::WorkOrder;
 use crate::runs::planner::LinkNo;
 
 impl Runner {
     /// Accepts or refuses runs. Accepted runs start as soon as resources are free.
-    pub(super) fn accept_runs(&mut self, now: Time, link: LinkNo, start: StartRuns) {
+    pub(super) fn accept_runs(&mut self, now: Time, link: LinkNo, ordered: OrderedStart) {
+        let OrderedStart { start, urgency } = ordered;
+        let order = WorkOrder::new(now, &urgency);
         let Some(row) = self.links.get_mut(&link).filter(|l| l.hello_sent) else {
             return;
         };
@@ -25,9 +28,7 @@
         let first = start.runs.first().copied();
         let mut accepted = 0;
         for run in start.runs {
-            if let Some(reason) =
-                self.refusal_reason(&start.service, &run, &start.demand, start_deadline)
-            {
+            if let Some(reason) = self.refusal_reason(&start.service, &run, &start.demand, order) {
                 self.refuse(run, Some(link), reason);
                 continue;
             }
@@ -44,6 +45,7 @@
                 maybe_started: false,
                 accepted: now,
                 start_deadline,
+                order,
                 retry_at: None,
             };
             self.runs.insert(run, row);
@@ -60,8 +62,7 @@
         self.trim_queue(now);
     }
 
-    /// Refuses the runs with the latest start deadlines while the queue exceeds the upstream's
-    /// capacity.
+    /// Refuses the runs that are last in order while the queue exceeds the upstream's capacity.
     fn trim_queue(&mut self, now: Time) {
         let Some(capacity) = self.upstream.as_ref().map(|u| u.report.capacity) else {
             return;
@@ -69,30 +70,30 @@
         while !capacity.can_fit(&self.queued_demand()) {
             let is_queued = |(_, r): &(&RunKey, &Run)| r.state == RunState::Queued;
             let rows = self.runs.iter().filter(is_queued);
-            let Some((&run, _)) = rows.max_by_key(|(run, r)| (r.start_deadline, **run)) else {
+            let Some((&run, _)) = rows.max_by_key(|(run, r)| (r.order, **run)) else {
                 return;
             };
             self.abandon_queued(now, run, RefuseReason::Room);
         }
     }
 
-    /// Starts queued runs in the order of their start deadlines, as far as resources are free.
+    /// Starts queued runs in their order, as far as resources are free.
     pub(super) fn start_queued(&mut self, now: Time) {
         let is_queued = |(run, row): (&RunKey, &Run)| {
-            (row.state == RunState::Queued).then_some((row.start_deadline, *run))
+            (row.state == RunState::Queued).then_some((row.order, *run))
         };
-        let mut order: Vec<(Time, RunKey)> = self.runs.iter().filter_map(is_queued).collect();
+        let mut order: Vec<(WorkOrder, RunKey)> = self.runs.iter().filter_map(is_queued).collect();
         if order.is_empty() {
             return;
         }
         order.sort_unstable();
         let open = self.is_accepting();
         let mut free = self.free_capacity();
-        for (start_deadline, run) in order {
+        for (_, run) in order {
             let Some(row) = self.runs.get_mut(&run) else {
                 continue;
             };
-            if now > start_deadline || !open || row.stop_requested {
+            if now > row.start_deadline || !open || row.stop_requested {
                 let reason = if open {
                     RefuseReason::Room
                 } else {
@@ -145,13 +146,13 @@
         }
     }
 
-    /// Returns why a run with this start deadline is not accepted, if it is not.
+    /// Returns why a run with this place in the order is not accepted, if it is not.
     fn refusal_reason(
         &self,
         service: &ServiceName,
         run: &RunKey,
         demand: &Resources,
-        start_deadline: Time,
+        order: WorkOrder,
     ) -> Option<RefuseReason> {
         let Some(upstream) = self.upstream.as_ref().filter(|_| self.is_accepting()) else {
             return Some(self.closed_refusal());
@@ -166,8 +167,8 @@
         if duplicate {
             return Some(RefuseReason::Twin);
         }
-        // Queued runs with later start deadlines yield.
-        let ahead = |r: &&Run| r.state == RunState::Queued && r.start_deadline <= start_deadline;
+        // Queued runs that are later in order yield.
+        let ahead = |r: &&Run| r.state == RunState::Queued && r.order <= order;
         let rows = self.runs.values().filter(ahead);
         let queue = rows.fold(*demand, |sum, r| sum.saturating_add(&r.demand));
         let fits = upstream.report.capacity.can_fit(&queue);
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use chervilring_wire::{
-    ConfigReplica, DomainName, Evacuations, Micros, Name, PlannerMessage, QueuedRuns, Resources,
-    RunKey, RunnerMessage, Time,
+    ConfigReplica, DomainName, Evacuations, Micros, Name, OrderedStart, PlannerMessage, QueuedRuns,
+    Resources, RunKey, RunnerMessage, Time,
 };
 
 use super::call::{CallOutcome, UpstreamCall};
@@ -15,6 +15,7 @@
 use super::upstream::Upstream;
 use crate::runs::bounds::{MAX_ORPHAN_TIME, queue_timeout_bucket};
 use crate::runs::evacuation::EvacuationSource;
+use crate::runs::order::{WorkOrder, unknown_urgency};
 use crate::runs::planner::LinkNo;
 use crate::runs::speed::Speed;
 
@@ -84,6 +85,8 @@
     pub(super) accepted: Time,
     /// When the run is refused if it has not started.
     pub(super) start_deadline: Time,
+    /// Its place among the queued runs.
+    pub(super) order: WorkOrder,
     /// When to retry a call that got no answer, provided that the upstream answers again.
     pub(super) retry_at: Option<Time>,
 }
@@ -201,7 +204,19 @@
                 }
                 self.update_evacuations(&evacuations, EvacuationSource::Peer);
             }
-            PlannerMessage::Start(start) => self.accept_runs(now, link, start),
+            PlannerMessage::Start(start) => {
+                let urgency = unknown_urgency(start.queue_timeout);
+                self.accept_runs(now, link, OrderedStart { start, urgency });
+            }
+            PlannerMessage::StartOrdered(start) => self.accept_runs(now, link, start),
+            PlannerMessage::KnowsRoom => {
+                if let Some(row) = self.links.get_mut(&link) {
+                    row.knows_room = true;
+                }
+            }
+            PlannerMessage::Claim(_)
+            | PlannerMessage::Confirm(_)
+            | PlannerMessage::StoreRunTimes(_) => {}
             PlannerMessage::Stop(runs) => {
                 for run in runs {
                     self.stop_run(now, run);
@@ -300,12 +315,11 @@
         })
     }
 
-    /// Returns the total demand of queued runs, grouped by their remaining queue timeout.
+    /// Returns the total demand of queued runs, grouped by the time until they are due.
     pub(super) fn queued_by_timeout(&self, now: Time) -> Vec<QueuedRuns> {
         let mut rows: Vec<QueuedRuns> = Vec::new();
         for run in self.runs.values().filter(|r| r.state == RunState::Queued) {
-            let left = now.duration_until(run.start_deadline);
-            let queue_timeout = queue_timeout_bucket(left);
+            let queue_timeout = queue_timeout_bucket(run.order.remaining(now));
             match rows
                 .iter_mut()
                 .find(|row| row.queue_timeout == queue_timeout)
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -16,4 +16,5 @@
 mod unfit;
 mod units;
 mod upstream;
+mod work_order;
 mod world;
--- a/crates/chervilring_core/tests/runs/units.rs
+++ b/crates/chervilring_core/tests/runs/units.rs
@@ -1,7 +1,7 @@
 //! Unit tests of decisions: start timeouts, order, speed, health, leases, and state messages.
 
 use chervilring_core::runs::planner::{
-    Health, JobArrival, JobTimes, Pace, ResubmissionDetector, latest_start, start_deadline,
+    Health, JobArrival, JobTimes, Pace, ResubmissionDetector, start_deadline,
 };
 use chervilring_core::runs::runner::{Lease, change_threshold, is_significant_change};
 use chervilring_core::runs::{Speed, expected_run_time};
@@ -56,10 +56,6 @@
         TestResult::from_bool(share && end >= at(1_000) && end <= latest.max(at(1_000)))
     }
 
-    fn less_slack_goes_first(objective: u32, chain: u16) -> bool {
-        let objective = Time(u64::from(objective) + 100_000_000);
-        latest_start(objective, MS(u64::from(chain) + 1)) < latest_start(objective, MS(u64::from(chain)))
-    }
 }
 
 /// Returns the expected run time of a task that declares 100 ms, in milliseconds.
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod id;
 mod message;
 mod ring;
+mod room;
 mod run;
 mod submission;
 mod time;
@@ -25,6 +26,7 @@
     EntryMessage, Handover, Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
 };
 pub use ring::{InDoubt, Member, PastRing, Ring, home_name};
+pub use room::{ClaimRuns, ClassLoad, OrderedStart, RouteRunTimes, UpstreamLoad, Urgency};
 pub use run::{
     ConfigReplica, Evacuations, JobId, PlannerMessage, QueuedRuns, RefuseReason, Resources, RunEnd,
     RunKey, RunProgress, RunnerLevel, RunnerMessage, StartRuns, UpstreamState,
--- /dev/null
+++ b/crates/chervilring_wire/src/room.rs
@@ -0,0 +1,74 @@
+//! What planners and runners tell each other about room that is short: the order of work, claims,
+//! loads and run times. Only processes that say that they know these messages are sent them.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Name, ServiceName};
+use crate::run::{Resources, StartRuns};
+use crate::time::Micros;
+
+/// What decides which of several runs goes first where there is not room for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Urgency {
+    /// The priority of the route; zero is the most urgent.
+    pub priority: u32,
+    /// How long the run may wait and still meet its job's objective. A duration and not a deadline,
+    /// because the clocks of different hosts are not comparable.
+    pub slack: Micros,
+    /// How long the whole job would keep everything busy that its planner can reach.
+    pub work: Micros,
+    /// Whether other tasks of the job have started: their work is lost if this one comes too late.
+    pub started: bool,
+    /// Whether the job can still meet its objective.
+    pub timely: bool,
+}
+
+/// Runs of one job to start, with what decides their order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderedStart {
+    /// The runs.
+    pub start: StartRuns,
+    /// What decides their order.
+    pub urgency: Urgency,
+}
+
+/// Runs of one job for which room is claimed, to be confirmed or given back.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRuns {
+    /// The runs. They may wait for room as long as a start with this queue timeout may.
+    pub start: OrderedStart,
+    /// How long the room is kept for them once it is there. Not a deadline, as above.
+    pub hold: Micros,
+}
+
+/// The load of an upstream by priority, as its runner sees it over all planners.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// The service.
+    pub service: ServiceName,
+    /// The rows, the most urgent priority first.
+    pub classes: Vec<ClassLoad>,
+}
+
+/// The load of one priority at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ClassLoad {
+    /// The priority.
+    pub priority: u32,
+    /// The demand of its queued runs.
+    pub queued: Resources,
+    /// The room that is kept free for it from less urgent work.
+    pub reserved: Resources,
+    /// The moving average of the time that its runs waited for room.
+    pub wait: Micros,
+}
+
+/// How the run times of a route's tasks compare with those that callers declare.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteRunTimes {
+    /// The name of the route.
+    pub route: Name,
+    /// The histogram of the ratios, in its own format.
+    pub ratios: Bytes,
+}
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{DomainName, Name, ServiceName};
+use crate::room::{ClaimRuns, OrderedStart, RouteRunTimes, UpstreamLoad};
 use crate::time::Micros;
 
 /// The id of a job, chosen by the caller.
@@ -120,6 +121,17 @@
     CancelQueued(Vec<RunKey>),
     /// The evacuated failure domains, sent when the runner may not know them.
     Evacuations(Evacuations),
+    /// The planner knows the messages of [`RunnerLevel::ROOM`]. Sent once to runners of that level,
+    /// as are the messages below.
+    KnowsRoom,
+    /// Runs to start, with what decides their order.
+    StartOrdered(OrderedStart),
+    /// Runs for which room is claimed.
+    Claim(ClaimRuns),
+    /// Claimed runs to start now.
+    Confirm(Vec<RunKey>),
+    /// The run times of routes, for the runner to keep for planners that start.
+    StoreRunTimes(Vec<RouteRunTimes>),
 }
 
 /// The failure domains that operators have evacuated: no run starts on an upstream there.
@@ -248,6 +260,15 @@
     Progress(Vec<RunProgress>),
     /// The evacuated failure domains, sent when the planner may not know them.
     Evacuations(Evacuations),
+    /// Runs whose room is claimed until they are confirmed or given back, or the claim ends. Sent only
+    /// to planners that have said [`PlannerMessage::KnowsRoom`], as are the messages below.
+    Claimed(Vec<RunKey>),
+    /// The load of the upstream by priority.
+    Load(UpstreamLoad),
+    /// The run times of routes, as the runner has stored them.
+    RunTimes(Vec<RouteRunTimes>),
+    /// The number of runs whose start the upstream has not answered, so that they may hold room.
+    Doubts(u32),
 }
 
 /// The level of the messages of a runner. Each level changes what a message means that processes of
@@ -260,6 +281,10 @@
     /// for a lease that had expired.
     pub const CRASHES: Self = Self(1);
 
+    /// From this level on, the runner knows the messages on room that is short, which
+    /// [`PlannerMessage::KnowsRoom`] begins.
+    pub const ROOM: Self = Self(2);
+
     /// The place of the level in a sequence number, in bits: processes without levels compare the
     /// numbers of one incarnation only and leave the highest byte zero.
     const SHIFT: u32 = 56;
