--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -4,6 +4,7 @@
 mod dialer;
 mod evacuation;
 mod event;
+mod headroom;
 mod incarnations;
 mod lease;
 mod link_systems;
@@ -24,6 +25,7 @@
 };
 pub use dialer::{DialAction, Dialer, PLANNERS_PER_RUNNER};
 pub use event::RunnerEvent;
+pub use headroom::{Headroom, Reserve};
 pub use lease::Lease;
 pub use pace::{Progress, RunPace, expected_speed};
 pub use record::UpstreamRecord;
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -25,6 +25,10 @@
         }
         let free = self.free_capacity();
         let start_deadline = now + start.queue_timeout;
+        let priority = if urgency.started { 0 } else { urgency.priority };
+        let tasks = start.runs.len();
+        self.headroom
+            .record(now, priority, tasks, start.declared_runtime, &start.demand);
         let first = start.runs.first().copied();
         let mut accepted = 0;
         for run in start.runs {
@@ -45,6 +49,7 @@
                 maybe_started: false,
                 accepted: now,
                 start_deadline,
+                priority,
                 order,
                 retry_at: None,
             };
@@ -89,6 +94,8 @@
         order.sort_unstable();
         let open = self.is_accepting();
         let mut free = self.free_capacity();
+        let capacity = self.upstream.as_ref().map(|u| u.report.capacity);
+        let reserve = capacity.and_then(|all| self.headroom.reserve(now, &all));
         for (_, run) in order {
             let Some(row) = self.runs.get_mut(&run) else {
                 continue;
@@ -102,7 +109,8 @@
                 self.abandon_queued(now, run, reason);
                 continue;
             }
-            if !free.can_fit(&row.demand) {
+            let kept = reserve.map_or(0, |r| r.kept_from(row.priority, &row.demand));
+            if !free.can_fit(&row.demand) || free.cpu < row.demand.cpu + kept {
                 continue;
             }
             free = free.saturating_sub(&row.demand);
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -9,6 +9,7 @@
 
 use super::call::{CallOutcome, UpstreamCall};
 use super::event::RunnerEvent;
+use super::headroom::Headroom;
 use super::links::Link;
 use super::pace::RunPace;
 use super::record::UpstreamRecord;
@@ -85,6 +86,8 @@
     pub(super) accepted: Time,
     /// When the run is refused if it has not started.
     pub(super) start_deadline: Time,
+    /// The priority of its route, or zero if other tasks of its job have started.
+    pub(super) priority: u32,
     /// Its place among the queued runs.
     pub(super) order: WorkOrder,
     /// When to retry a call that got no answer, provided that the upstream answers again.
@@ -119,6 +122,8 @@
     pub(super) speed: Speed,
     /// The last stored speed, in thousandths, and the earliest time to store another one.
     pub(super) stored_speed: (u32, Time),
+    /// The room kept free for the most urgent work.
+    pub(super) headroom: Headroom,
     /// When the leases granted by an earlier incarnation of this runner have certainly expired.
     pub(super) prior_expiry: Time,
 }
@@ -151,6 +156,7 @@
             mean_run_time: INITIAL_RUN_TIME,
             speed: Speed::default(),
             stored_speed: (Speed::default().permille(), now),
+            headroom: Headroom::default(),
             prior_expiry: now + MAX_ORPHAN_TIME,
         }
     }
