--- a/crates/chervilring_core/src/runs/runner/headroom.rs
+++ b/crates/chervilring_core/src/runs/runner/headroom.rs
@@ -112,7 +112,7 @@
         self.arrivals.retain(|_, row| row.load() >= MIN_LOAD / 16.0);
         let mut urgent = self.arrivals.iter();
         let (&priority, row) = urgent.find(|(_, row)| row.load() >= MIN_LOAD)?;
-        let tasks = row.load().sqrt().round();
+        let tasks = row.load().sqrt().floor().max(1.0);
         let cpu = tasks * row.cpu / row.tasks;
         let most = capacity.cpu as f64 * MAX_SHARE;
         Some(Reserve {
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -27,8 +27,13 @@
         let start_deadline = now + start.queue_timeout;
         let priority = if urgency.started { 0 } else { urgency.priority };
         let tasks = start.runs.len();
-        self.headroom
-            .record(now, priority, tasks, start.declared_runtime, &start.demand);
+        self.headroom.record(
+            now,
+            urgency.priority,
+            tasks,
+            start.declared_runtime,
+            &start.demand,
+        );
         let first = start.runs.first().copied();
         let mut accepted = 0;
         for run in start.runs {
