Starts without answer: learnt timeouts, doubts told to planners, waits that can be seen

Cause: a start that gets no answer was repeated 30 ms after it was sent, and only while polls were answered. With 5 % of the orders unanswered, a third of the jobs of eight tasks has such a start. Nothing said how long a run had waited for room.

Change: the timeout of a start comes from the times of the calls that this incarnation answered (8 to 30 ms) and doubles with each start of the run without answer, up to 120 ms between two of them; the call carries it and the platform obeys it. While the last poll is unanswered one call at a time is repeated, with a growing delay. Runners tell planners that know it how many runs have two starts without answer, and go on for two seconds; tasks of steps of several tasks go to other upstreams first. Event `Begun` with its wait: log line `run begun` from 5 ms on, histogram `run_wait`; counter `starts_repeated`, gauge `doubts`.

Tests: the model ends an unanswered start at the call's timeout, and counts an answer that comes after it as none. Before, it took 60 ms for all calls, which no process did. With the probe removed, `a_repeat_does_not_wait_for_a_poll` fails.

--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -88,10 +88,12 @@
                 }
             }
             RunnerMessage::Progress(rows) => self.check_progress(now, &rows),
-            RunnerMessage::Claimed(_)
-            | RunnerMessage::Load(_)
-            | RunnerMessage::RunTimes(_)
-            | RunnerMessage::Doubts(_) => {}
+            RunnerMessage::Doubts(count) => {
+                if let Some(upstream) = self.links.get_mut(&link) {
+                    upstream.doubts = count;
+                }
+            }
+            RunnerMessage::Claimed(_) | RunnerMessage::Load(_) | RunnerMessage::RunTimes(_) => {}
         }
     }
 
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod choice;
 mod crashes;
+mod doubts;
 mod evacuation;
 mod event;
 mod health;
--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -26,6 +26,18 @@
         /// The free resources.
         free: Resources,
     },
+    /// A run has room and its start is sent.
+    Begun {
+        /// The run.
+        run: RunKey,
+        /// The time since it was accepted.
+        waited: Micros,
+    },
+    /// A start without answer is sent again.
+    StartRepeated {
+        /// The run.
+        run: RunKey,
+    },
     /// The upstream refused to start a run.
     NotStarted {
         /// The run.
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -43,6 +43,7 @@
                 state: RunState::Queued,
                 stop_requested: false,
                 maybe_started: false,
+                unanswered: 0,
                 accepted: now,
                 start_deadline,
                 order,
@@ -107,6 +108,9 @@
             }
             free = free.saturating_sub(&row.demand);
             row.state = RunState::Starting;
+            let waited = now.duration_since(row.accepted);
+            let event = RunnerEvent::Begun { run, waited };
+            self.steps.push(RunnerStep::Log(event));
             self.call_start(now, run);
         }
     }
@@ -193,8 +197,7 @@
             CallOutcome::Refused { reason, .. } => self.handle_start_refusal(now, run, *reason),
             // The refused connection may be a retry, after a start that was carried out.
             CallOutcome::NoAnswer | CallOutcome::NotListening => {
-                row.maybe_started = true;
-                self.schedule_retry(sent, run, "start");
+                self.schedule_repeat(sent, run);
             }
         }
     }
@@ -205,6 +208,7 @@
             return;
         };
         row.state = RunState::Running(now);
+        row.unanswered = 0;
         let stop_requested = row.stop_requested;
         if let Some(link) = row.link {
             let message = RunnerMessage::Started(run);
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -68,7 +68,7 @@
             | CallOutcome::Refused {
                 reason: CallRefusal::Unhealthy,
                 ..
-            } => self.schedule_retry(sent, run, "stop"),
+            } => self.schedule_stop(sent, run),
             CallOutcome::Refused {
                 reason: CallRefusal::Fence,
                 ..
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod dial;
+mod doubts;
 mod down;
 mod evacuation;
 mod focused;
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -3,10 +3,14 @@
 use std::net::SocketAddr;
 
 use chervilring_core::runs::runner::RunnerEvent;
+use chervilring_wire::Micros;
 use slog::{Logger, debug, info, warn};
 
 use super::told;
 
+/// The wait for room from which the begin of a run is logged.
+const LOGGED_WAIT: Micros = Micros::from_millis(5);
+
 /// Logs a decision; `planner` returns the address behind a link, while that is known.
 pub(super) fn log(log: &Logger, event: &RunnerEvent, planner: impl Fn(u64) -> Option<SocketAddr>) {
     let planner = |link: u64| planner(link).map(|addr| addr.to_string());
@@ -19,6 +23,11 @@
             info!(log, "run refused"; "job" => %run.job, "run" => %run, "reason" => ?reason,
                 "free_cpu" => free.cpu);
         }
+        RunnerEvent::Begun { run, waited } if *waited >= LOGGED_WAIT => {
+            info!(log, "run begun"; "job" => %run.job, "run" => %run, "waited_us" => waited.0);
+        }
+        // Counted. The line on the missing answer tells the rest.
+        RunnerEvent::Begun { .. } | RunnerEvent::StartRepeated { .. } => {}
         RunnerEvent::NotStarted { run, reason } => {
             info!(log, "run not started"; "job" => %run.job, "run" => %run, "why" => ?reason);
         }
--- a/crates/chervilring_daemon/src/runs/runner_report.rs
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -12,6 +12,7 @@
     pub(super) runs: Gauge<u64>,
     pub(super) planners: Gauge<u64>,
     pub(super) evacuated: Gauge<u64>,
+    pub(super) doubts: Gauge<u64>,
     taken: Counter<u64>,
     refused: Counter<u64>,
     handed_back: Counter<u64>,
@@ -20,8 +21,10 @@
     stopped: Counter<u64>,
     lapsed: Counter<u64>,
     unanswered: Counter<u64>,
+    repeated: Counter<u64>,
     lost: Counter<u64>,
     spans: Histogram<f64>,
+    waits: Histogram<f64>,
 }
 
 impl RunnerReport {
@@ -31,6 +34,7 @@
             runs: metrics.gauge("runs", "Runs in hand"),
             planners: metrics.gauge("planners", "Planners whose link is up"),
             evacuated: metrics.gauge("domains_evacuated", "Failure domains that are evacuated"),
+            doubts: metrics.gauge("doubts", "Runs whose start has no answer"),
             taken: metrics.counter("runs_taken", "Runs taken on"),
             refused: metrics.counter("runs_refused", "Runs refused or not started"),
             handed_back: metrics.counter(
@@ -42,8 +46,10 @@
             stopped: metrics.counter("runs_stopped", "Runs that were stopped"),
             lapsed: metrics.counter("runs_lapsed", "Runs whose lease lapsed"),
             unanswered: metrics.counter("calls_unanswered", "Calls of the upstream without answer"),
+            repeated: metrics.counter("starts_repeated", "Starts sent again after no answer"),
             lost: metrics.counter("links_lost", "Links to planners that were lost"),
             spans: metrics.durations("run_duration", "Time from taking on a run to its end"),
+            waits: metrics.durations("run_wait", "Time from taking on a run until it has room"),
             metrics,
         })
     }
@@ -57,6 +63,8 @@
                 let is_evacuated = *reason == RefuseReason::Evacuated;
                 self.handed_back.add(u64::from(is_evacuated), &[]);
             }
+            RunnerEvent::Begun { waited, .. } => self.waits.record(waited.0 as f64 / 1e6, &[]),
+            RunnerEvent::StartRepeated { .. } => self.repeated.add(1, &[]),
             RunnerEvent::NotStarted { .. } => self.refused.add(1, &[]),
             RunnerEvent::NoAnswer { .. } => self.unanswered.add(1, &[]),
             RunnerEvent::LinkLost { .. } => self.lost.add(1, &[]),
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -267,7 +267,8 @@
     Load(UpstreamLoad),
     /// The run times of routes, as the runner has stored them.
     RunTimes(Vec<RouteRunTimes>),
-    /// The number of runs whose start the upstream has not answered, so that they may hold room.
+    /// The highest number of runs, over the last while, whose start and its repeat the upstream left
+    /// unanswered.
     Doubts(u32),
 }
 
