Run times: learnt by route, kept by runners, and what objectives are judged by

Declared run times are off, singly and by route, and the objective rested on them. Planners now learn the ratio of true to declared run times by route, runners keep it for planners that start, and objective_met goes by the measured run times.

--- a/crates/chervilring_core/src/runs/planner/candidates.rs
+++ b/crates/chervilring_core/src/runs/planner/candidates.rs
@@ -7,7 +7,6 @@
 use super::links::LinkNo;
 use super::state::Planner;
 use super::upstream::{Upstream, expected_wait};
-use crate::runs::speed::expected_run_time;
 
 /// A candidate upstream during placement.
 pub(super) struct UpstreamSlot<'a> {
@@ -66,7 +65,9 @@
             return None;
         }
         let declared_runtime = self.runtime_at(row, state);
-        let run_time = expected_run_time(state.speed, declared_runtime);
+        let route = &job.submission.route;
+        let factor = self.run_times.factor(&route.name, &route.service);
+        let run_time = upstream.expected_run(declared_runtime, factor);
         let remaining = upstream.remaining(now, job, run_time);
         Some(UpstreamSlot {
             link,
--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -63,8 +63,10 @@
         start_wait: Option<Micros>,
         /// The number of runs sent for the job.
         starts: u32,
-        /// Whether the objective was met.
+        /// Whether the objective was met, by the run times of the tasks as they were.
         objective_met: bool,
+        /// How long the objective allowed, by the same run times.
+        objective: Micros,
     },
     /// A runner was asked for its replica of the configuration.
     ReplicaRequested {
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -89,6 +89,12 @@
     pub(super) crashes: Crashes,
     /// The attempt of the latest run that is known to have started.
     pub(super) started_attempt: u32,
+    /// The attempt and the time of the latest reported start.
+    pub(super) running_since: Option<(u32, Time)>,
+    /// The run time on a sound upstream near the data, once it is measured.
+    pub(super) work: Option<Micros>,
+    /// The same of runs that failed.
+    pub(super) failed_work: Micros,
     /// The runner whose upstream the next attempt should avoid: the task last failed or stalled
     /// there.
     pub(super) avoid_runner: Option<Name>,
@@ -117,6 +123,8 @@
     pub(super) prior_wait: Option<Micros>,
     /// When the objective is missed.
     pub(super) objective: Time,
+    /// The expected run time of the longest chain of dependent steps.
+    pub(super) critical_path: Micros,
     /// The latest time at which the first task may start.
     pub(super) start_deadline: Time,
     /// How long it would keep all processors busy that its planner can reach.
@@ -259,14 +267,19 @@
 
     /// Returns the declared run time of the longest chain of dependent steps.
     pub fn critical_path(&self) -> Micros {
+        self.longest_chain(|_, step| step.declared_runtime)
+    }
+
+    /// Returns the run time of the longest chain of dependent steps, by the run time of each step.
+    pub(super) fn longest_chain(&self, run_time: impl Fn(usize, &Step) -> Micros) -> Micros {
         let mut ends: Vec<Micros> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (index, step) in self.steps.iter().enumerate() {
             let ends_before = step
                 .dependencies
                 .iter()
                 .filter_map(|&s| ends.get(s).copied());
             let start = ends_before.max().unwrap_or_default();
-            ends.push(start + step.declared_runtime);
+            ends.push(start + run_time(index, step));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -88,7 +88,7 @@
                 return false;
             };
             let declared_runtime = job.submission.steps[t.step].declared_runtime;
-            let run = Micros((declared_runtime.0 as f64 / best) as u64);
+            let run = self.hopeful_run_time(job, declared_runtime, best);
             now.max(at) + run > job.submission.deadline
         };
         job.tasks.iter().any(is_late)
@@ -111,6 +111,8 @@
         let Some(job) = self.jobs.get(&seq) else {
             return;
         };
+        let objective = self.true_objective(job);
+        let time = job.arrived.duration_until(now) + job.prior_wait.unwrap_or_default();
         let event = PlannerEvent::Answered {
             job: job.submission.id,
             request: job.submission.request.clone(),
@@ -122,7 +124,8 @@
             duration: now.duration_since(job.arrived),
             start_wait: job.started_at.map(|at| at.duration_since(job.arrived)),
             starts: job.sent_runs,
-            objective_met: answer == JobAnswer::Completed && now <= job.objective,
+            objective_met: answer == JobAnswer::Completed && time <= objective,
+            objective,
         };
         for &caller in &job.callers {
             self.steps.push(PlannerStep::Answer {
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -70,6 +70,7 @@
                     if let Some(job) = self.jobs.get_mut(&seq) {
                         job.started_at.get_or_insert(now);
                         job.tasks[index].started_attempt = run.attempt;
+                        job.tasks[index].running_since = Some((run.attempt, now));
                     }
                     self.check_job(now, seq);
                 }
@@ -84,14 +85,13 @@
                 self.decrement_runs(link);
                 self.capacity_changed = true;
                 if self.was_sent_over(&run, link) {
+                    self.measure_run(now, link, &run, end);
                     self.run_ended(now, link, run, end);
                 }
             }
             RunnerMessage::Progress(rows) => self.check_progress(now, &rows),
-            RunnerMessage::Claimed(_)
-            | RunnerMessage::Load(_)
-            | RunnerMessage::RunTimes(_)
-            | RunnerMessage::Doubts(_) => {}
+            RunnerMessage::RunTimes(rows) => self.recall_run_times(&rows),
+            RunnerMessage::Claimed(_) | RunnerMessage::Load(_) | RunnerMessage::Doubts(_) => {}
         }
     }
 
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -22,6 +22,8 @@
             self.send_heartbeats();
             self.send_replica();
             self.request_replica(now);
+            self.update_usual_speeds();
+            self.store_run_times(now);
             self.profiles
                 .retain(|_, p| now.duration_since(p.last_seen) < PROFILE_AGE);
             self.resubmissions.forget_idle_routes(now);
@@ -75,7 +77,7 @@
     fn schedule(&mut self, now: Time) {
         let waiting = self.jobs.iter().filter(|(_, j)| j.has_waiting_task());
         let row = |(&seq, job): (&u64, &Job)| {
-            let urgency = job.urgency(now, job.submission.critical_path());
+            let urgency = job.urgency(now, job.critical_path);
             (WorkOrder::new(now, &urgency), seq)
         };
         let mut order: Vec<(WorkOrder, u64)> = waiting.map(row).collect();
--- a/crates/chervilring_core/src/runs/planner/replicas.rs
+++ b/crates/chervilring_core/src/runs/planner/replicas.rs
@@ -75,7 +75,7 @@
 }
 
 /// Returns the links to the runners that store replicas. All planners choose the same runners.
-fn replica_holders<'a>(names: impl Iterator<Item = (LinkNo, &'a Name)>) -> Vec<LinkNo> {
+pub(super) fn replica_holders<'a>(names: impl Iterator<Item = (LinkNo, &'a Name)>) -> Vec<LinkNo> {
     let rank = |(link, name): (LinkNo, &'a Name)| (xxh3_64(name.as_bytes()), link);
     let mut rows: Vec<(u64, LinkNo)> = names.map(rank).collect();
     rows.sort_unstable();
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -12,6 +12,7 @@
 use super::job::{Caller, Job, NewJob, PastJob, Task, TaskState};
 use super::links::LinkNo;
 use super::resubmission::{JobArrival, ResubmissionDetector};
+use super::run_times::RunTimes;
 use super::settings::PlannerSettings;
 use super::upstream::{Profile, Upstream};
 use crate::runs::bounds::HEARTBEAT_INTERVAL;
@@ -103,6 +104,8 @@
     pub(super) past_jobs: FxHashMap<JobId, PastJob>,
     /// Tells resubmissions from new jobs.
     pub(super) resubmissions: ResubmissionDetector,
+    /// What is known of the run times of routes.
+    pub(super) run_times: RunTimes,
     /// When the next heartbeats are due.
     pub(super) next_heartbeat: Time,
     /// Whether capacity may have become free, or tasks may have become ready, since the last
@@ -130,6 +133,7 @@
             next_request: now,
             past_jobs: FxHashMap::default(),
             resubmissions: ResubmissionDetector::default(),
+            run_times: RunTimes::default(),
             next_heartbeat: now + HEARTBEAT_INTERVAL,
             capacity_changed: false,
             last_seq: 0,
@@ -146,7 +150,7 @@
             job.callers.push(caller);
             return;
         }
-        let critical_path = submission.critical_path();
+        let critical_path = self.expected_path(&submission);
         let slack = Micros((critical_path.0 as f64 * submission.route.slack_factor) as u64);
         let objective_duration = slack + submission.route.target_duration;
         let arrival = JobArrival {
@@ -179,6 +183,7 @@
             arrived: now,
             prior_wait,
             objective,
+            critical_path,
             start_deadline,
             started_at: None,
             last_placement: now,
@@ -313,6 +318,9 @@
             failures: 0,
             crashes: crashes(step, index).unwrap_or_default(),
             started_attempt: 0,
+            running_since: None,
+            work: None,
+            failed_work: Micros::default(),
             avoid_runner: None,
             restarted: false,
         })
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -7,6 +7,7 @@
 };
 
 use super::health::Health;
+use super::mean_speed::MeanSpeed;
 use crate::runs::bounds::queue_timeout_bucket;
 
 /// The share of the usual speed below which a reported one is a sudden fall.
@@ -61,6 +62,8 @@
     pub(super) heartbeat_seq: u64,
     /// The speed that was reported over the last seconds.
     pub(super) usual_speed: Option<f64>,
+    /// The mean of the reported speeds.
+    pub(super) mean_speed: MeanSpeed,
     /// The last reported state and when it arrived.
     pub(super) state: Option<(UpstreamState, Time)>,
     /// The sequence number of the last start message.
@@ -89,6 +92,7 @@
             last_heard: now,
             heartbeat_seq: 0,
             usual_speed: None,
+            mean_speed: MeanSpeed::default(),
             state: None,
             start_seq: 0,
             unreported: VecDeque::new(),
@@ -109,7 +113,9 @@
         {
             self.unreported.pop_front();
         }
-        self.record_speed(f64::from(state.speed) / 1_000.0, now);
+        let speed = f64::from(state.speed) / 1_000.0;
+        self.record_speed(speed, now);
+        self.mean_speed.record(speed, now);
         self.state = Some((state, now));
     }
 
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod record;
 mod retries;
+mod run_times;
 mod starts;
 mod state;
 mod state_updates;
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -12,6 +12,7 @@
 use super::links::Link;
 use super::pace::RunPace;
 use super::record::UpstreamRecord;
+use super::run_times::StoredRunTimes;
 use super::upstream::Upstream;
 use crate::runs::bounds::{MAX_ORPHAN_TIME, queue_timeout_bucket};
 use crate::runs::evacuation::EvacuationSource;
@@ -106,6 +107,8 @@
     pub(super) links: BTreeMap<LinkNo, Link>,
     pub(super) steps: Vec<RunnerStep>,
     pub(super) replica: Option<ConfigReplica>,
+    /// The run times of routes, kept for planners that start.
+    pub(super) run_times: StoredRunTimes,
     /// The evacuated failure domains.
     pub(super) evacuations: Evacuations,
     /// When the next progress messages are due.
@@ -144,6 +147,7 @@
             links: BTreeMap::new(),
             steps: Vec::new(),
             replica: None,
+            run_times: StoredRunTimes::default(),
             evacuations: Evacuations::default(),
             next_progress: now,
             shutdown_deadline: None,
@@ -213,10 +217,10 @@
                 if let Some(row) = self.links.get_mut(&link) {
                     row.knows_room = true;
                 }
+                self.tell_run_times(now, link);
             }
-            PlannerMessage::Claim(_)
-            | PlannerMessage::Confirm(_)
-            | PlannerMessage::StoreRunTimes(_) => {}
+            PlannerMessage::StoreRunTimes(rows) => self.run_times.store(now, rows),
+            PlannerMessage::Claim(_) | PlannerMessage::Confirm(_) => {}
             PlannerMessage::Stop(runs) => {
                 for run in runs {
                     self.stop_run(now, run);
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -11,6 +11,7 @@
 mod remote;
 mod replicas;
 mod restarts;
+mod run_times;
 mod schedules;
 mod slowdown;
 mod unfit;
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -123,6 +123,8 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) violations: Vec<String>,
     pub(crate) jobs: Vec<TestJob>,
+    /// Whether planners say that the objective was met, by the id of the job.
+    pub(crate) said_met: BTreeMap<u64, bool>,
     pub(crate) upstreams: Vec<Upstream>,
     /// The share of calls that are left unanswered and carried out late.
     pub(crate) late_share: f64,
@@ -192,6 +194,7 @@
             rng,
             violations: Vec::new(),
             jobs: Vec::new(),
+            said_met: BTreeMap::new(),
             upstreams,
             late_share: 0.0,
             mute_until: Time::default(),
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -27,6 +27,12 @@
             PlannerStep::Log(event) => {
                 let is_part = matches!(event, PlannerEvent::LinkClosed { .. });
                 self.closed_links += u32::from(is_part);
+                if let PlannerEvent::Answered {
+                    job, objective_met, ..
+                } = &event
+                {
+                    self.said_met.insert(job.0, *objective_met);
+                }
                 self.trace(&format!("planner {p}: {event:?}"));
             }
         }
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -230,6 +230,7 @@
                 let now = self.parts.clock.time();
                 self.source.set_version(now, routes.version, from);
                 self.parts.callers.set_body(routes.max_body);
+                self.parts.planner.set_routes(&routes);
                 self.routes = Some(routes);
                 self.parts.planner.set_config(copy);
             }
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -43,10 +43,11 @@
             start_wait,
             starts,
             objective_met,
+            objective,
         } => {
             info!(log, "answered"; "job" => %job, "request" => &**request, "route" => &**route, "config" => config_version,
                 "answer" => ?answer, "patience_us" => caller_timeout.0, "sent_before_us" => prior_wait.map(|w| w.0), "took_us" => duration.0, "waited_us" => start_wait.map(|w| w.0),
-                "starts" => starts, "objective_met" => objective_met);
+                "starts" => starts, "objective_met" => objective_met, "objective_us" => objective.0);
         }
         PlannerEvent::ReplicaRequested {
             runner,
--- a/crates/chervilring_wire/src/room.rs
+++ b/crates/chervilring_wire/src/room.rs
@@ -1,7 +1,6 @@
 //! What planners and runners tell each other about room that is short: the order of work, claims,
 //! loads and run times. Only processes that say that they know these messages are sent them.
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Name, ServiceName};
@@ -69,6 +68,9 @@
 pub struct RouteRunTimes {
     /// The name of the route.
     pub route: Name,
-    /// The histogram of the ratios, in its own format.
-    pub ratios: Bytes,
+    /// The number of runs on which the ratios rest.
+    pub runs: u32,
+    /// The ratios of true to declared run times, in thousandths and in ascending order. Each stands for
+    /// an equal share of the runs.
+    pub ratios: Vec<u32>,
 }
