--- a/crates/chervilring_core/tests/runs/scarcity.rs
+++ b/crates/chervilring_core/tests/runs/scarcity.rs
@@ -104,7 +104,10 @@
 fn urgent_wide_jobs_are_in_time_although_less_urgent_work_fills_all_upstreams() {
     for seed in 1..4 {
         let out = burst(seed);
-        let line: Vec<String> = out.iter().map(|o| format!("{:.3}/{:.3}", o.in_time, o.refused)).collect();
+        let line: Vec<String> = out
+            .iter()
+            .map(|o| format!("{:.3}/{:.3}", o.in_time, o.refused))
+            .collect();
         println!("seed {seed}: {}", line.join("  "));
     }
 }
