Planners: a run that finds no room moves on in time, and is refused for room at most twice

Change: a run on room that is believed free, while others have room for it as well, waits for a quarter of its time only. A task that was refused for room twice waits with all the time that its caller has left, and goes first at planner and runner. Both only towards runners that know the order of work.

--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -85,6 +85,8 @@
     pub(super) sent_runtime: Micros,
     /// The number of failed attempts.
     pub(super) failures: u32,
+    /// How often its runs were refused for room.
+    pub(super) room_refusals: u32,
     /// The upstreams that crashed under the task.
     pub(super) crashes: Crashes,
     /// The attempt of the latest run that is known to have started.
--- a/crates/chervilring_core/src/runs/planner/order.rs
+++ b/crates/chervilring_core/src/runs/planner/order.rs
@@ -11,6 +11,9 @@
     /// Returns the urgency of a task that runs for `run_time`.
     pub(super) fn urgency(&self, now: Time, run_time: Micros) -> Urgency {
         let latest_start = self.objective - run_time;
+        if let Some(first) = self.first_urgency(now < latest_start) {
+            return first;
+        }
         Urgency {
             priority: self.submission.route.priority,
             slack: now.duration_until(latest_start),
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -5,6 +5,7 @@
 use super::candidates::{UpstreamSlot, could_run};
 use super::choice::{Candidate, Choice, TaskTimes, choose_upstream};
 use super::job::{Job, Step, TaskState};
+use super::queue_timeouts::can_move;
 use super::sending::Placement;
 use super::state::Planner;
 
@@ -109,7 +110,10 @@
             candidates.clear();
             candidates.extend(slots.iter().map(|s| s.candidate(demand, avoid)));
             match choose_upstream(&candidates, &times, || random.f64()) {
-                Choice::Place(index) => take_slot(&mut slots[index], demand, task, &mut placements),
+                Choice::Place(index) => {
+                    let placed = take_slot(&mut slots[index], demand, task, &mut placements);
+                    placed.can_move &= can_move(&candidates, index, &times);
+                }
                 Choice::Wait => unplaced += 1,
             }
         }
@@ -133,23 +137,27 @@
     }
 }
 
-/// Adds a task to the placement on an upstream, which has less room from then on.
-fn take_slot(
+/// Adds a task to the placement on an upstream, which has less room from then on. Returns the placement.
+fn take_slot<'p>(
     slot: &mut UpstreamSlot<'_>,
     demand: &Resources,
     task: usize,
-    placements: &mut Vec<Placement>,
-) {
+    placements: &'p mut Vec<Placement>,
+) -> &'p mut Placement {
     slot.max_runs -= 1;
     slot.requested = slot.requested.saturating_add(demand);
-    match placements.iter_mut().find(|p| p.link == slot.link) {
-        Some(found) => found.tasks.push(task),
-        None => placements.push(Placement {
+    let found = placements.iter().position(|p| p.link == slot.link);
+    let index = found.unwrap_or(placements.len());
+    if found.is_none() {
+        placements.push(Placement {
             link: slot.link,
             name: slot.name.clone(),
             declared_runtime: slot.declared_runtime,
             run_time: slot.run_time,
-            tasks: vec![task],
-        }),
+            can_move: true,
+            tasks: Vec::new(),
+        });
     }
+    placements[index].tasks.push(task);
+    &mut placements[index]
 }
--- a/crates/chervilring_core/src/runs/planner/run_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/run_ends.rs
@@ -87,6 +87,7 @@
         self.log_lost(run, cause);
         self.runs.remove(&run);
         if let Some(job) = self.jobs.get_mut(&seq) {
+            job.tasks[index].record_loss(cause);
             job.tasks[index].state = TaskState::Waiting(now);
         }
         self.check_job(now, seq);
--- a/crates/chervilring_core/src/runs/planner/sending.rs
+++ b/crates/chervilring_core/src/runs/planner/sending.rs
@@ -17,6 +17,8 @@
     pub(super) declared_runtime: Micros,
     /// The expected run time of each task there.
     pub(super) run_time: Micros,
+    /// Whether all its tasks are placed on free room, and could go elsewhere.
+    pub(super) can_move: bool,
     pub(super) tasks: Vec<usize>,
 }
 
@@ -45,8 +47,12 @@
             let runs = mark_sent(job, now, &placement);
             let rows = runs.iter().copied().zip(placement.tasks.iter().copied());
             self.runs.extend(rows.map(|(run, task)| (run, (seq, task))));
-            let queue_timeout =
-                now.duration_until(job.latest_useful_start(now, placement.run_time));
+            let knows_room = upstream.source.knows_room();
+            let queue_timeout = if knows_room {
+                job.queue_timeout(now, placement.run_time, placement.can_move)
+            } else {
+                now.duration_until(job.latest_useful_start(now, placement.run_time))
+            };
             let row = &job.submission.steps[step];
             let urgency = job.urgency(now, placement.run_time);
             let queued = QueuedRuns {
@@ -63,7 +69,7 @@
                 queue_timeout,
                 runs,
             };
-            let message = if upstream.source.knows_room() {
+            let message = if knows_room {
                 PlannerMessage::StartOrdered(OrderedStart { start, urgency })
             } else {
                 PlannerMessage::Start(start)
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -311,6 +311,7 @@
             attempt,
             sent_runtime,
             failures: 0,
+            room_refusals: 0,
             crashes: crashes(step, index).unwrap_or_default(),
             started_attempt: 0,
             avoid_runner: None,
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of jobs and runs under leases, with planners, runners and upstreams in virtual time.
 
+mod claims;
 mod crashes;
 mod dial;
 mod down;
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -21,7 +21,7 @@
 use links::Link;
 use processes::{Process, pause, process};
 
-use crate::upstream::Upstream;
+use crate::upstream::{TaskId, Upstream};
 
 /// The one-way delay between two processes.
 const HOP: u64 = 500;
@@ -157,6 +157,8 @@
     pub(crate) starts: u32,
     /// The number of runs refused by runners for lack of capacity.
     pub(crate) capacity_refusals: u32,
+    /// The same by task.
+    pub(crate) room_refusals: BTreeMap<TaskId, u32>,
     /// The number of upstream states sent to planners.
     pub(crate) sent_states: u32,
     /// The number of links closed because they were not needed.
@@ -214,6 +216,7 @@
             started: BTreeMap::new(),
             starts: 0,
             capacity_refusals: 0,
+            room_refusals: BTreeMap::new(),
             sent_states: 0,
             closed_links: 0,
             traced: std::env::var_os("CHERVILRING_TRACE").is_some(),
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -35,9 +35,12 @@
     pub(super) fn runner_step(&mut self, r: usize, step: RunnerStep) {
         match step {
             RunnerStep::Send { link, message } => {
-                let refused = matches!(&message, RunnerMessage::Refused { reason, .. }
-                    if *reason == RefuseReason::Room);
-                self.capacity_refusals += u32::from(refused);
+                if let RunnerMessage::Refused { run, reason } = &message
+                    && *reason == RefuseReason::Room
+                {
+                    self.capacity_refusals += 1;
+                    *self.room_refusals.entry(task_of(run)).or_default() += 1;
+                }
                 self.sent_states += u32::from(matches!(&message, RunnerMessage::State(_)));
                 self.send(link.0, Packet::ToPlanner(message));
             }
