Tests: two planners that claim the same places, with runners that hear of them in different orders

Cause: with the same delay everywhere, whoever came first came first at every runner, and the test passed without the rule that it was meant for.

Change: packets of the model may be delayed at random, each by itself; the test of two planners uses it, and half of the schedules with claims.

--- a/crates/chervilring_core/tests/runs/claims.rs
+++ b/crates/chervilring_core/tests/runs/claims.rs
@@ -143,7 +143,8 @@
 fn of_two_planners_that_claim_the_same_places_one_gets_all() {
     for seed in 1..=200 {
         let mut world = pair(seed, 3, Without::Nothing);
-        world.jitter = 5_000;
+        // Each runner hears of the two jobs in its own order.
+        world.hop_jitter = 3_000;
         let mut places = Vec::new();
         for planner in 0..2 {
             let at = world.rng.u64(0..1_500);
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -341,6 +341,8 @@
 fn play_claims(seed: u64, without: Without) -> World {
     let mut world = World::new(seed, 3, 4, without);
     let mut rng = fastrand::Rng::with_seed(seed ^ 0xC1A1);
+    // Runners hear of the jobs in different orders.
+    world.hop_jitter = [0, 3_000][rng.usize(0..2)];
     for burst in 0..rng.u64(10..40) {
         let at = rng.u64(0..FAULTS);
         for job in 0..rng.u64(2..5) {
--- a/crates/chervilring_core/tests/runs/world/links.rs
+++ b/crates/chervilring_core/tests/runs/world/links.rs
@@ -119,6 +119,9 @@
         if self.now < self.lossy.0 && self.rng.f64() < self.lossy.1 {
             delay += self.rng.u64(RETRANSMIT_DELAY);
         }
+        if self.hop_jitter > 0 {
+            delay += self.rng.u64(0..=self.hop_jitter);
+        }
         self.at(delay, Event::Deliver(link, index));
     }
 
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -139,6 +139,8 @@
     pub(crate) lossy: (Time, f64),
     /// The maximum delay of answers to starts and stops, by which they overtake each other.
     pub(crate) jitter: u64,
+    /// The maximum additional delay of packets between processes.
+    pub(crate) hop_jitter: u64,
     /// Upstreams on which tasks stall.
     pub(crate) hangs: BTreeSet<usize>,
     /// Upstreams on which tasks fail.
@@ -206,6 +208,7 @@
             muted: BTreeMap::new(),
             lossy: (Time::default(), 0.0),
             jitter: 0,
+            hop_jitter: 0,
             hangs: BTreeSet::new(),
             fails: BTreeSet::new(),
             planners: Vec::new(),
