--- a/crates/chervilring_core/tests/runs/claims.rs
+++ b/crates/chervilring_core/tests/runs/claims.rs
@@ -1,10 +1,16 @@
 //! Room that is short, taken by several planners at the same time: runs that find none where they were
 //! placed, and claims.
 
-use chervilring_core::runs::planner::JobAnswer;
-use chervilring_wire::Time;
+use chervilring_core::runs::Planner;
+use chervilring_core::runs::planner::{
+    Caller, JobAnswer, LinkNo, NewJob, PlannerSettings, PlannerStep, Step,
+};
+use chervilring_wire::codec::write_frame;
+use chervilring_wire::{
+    JobId, Micros, PlannerMessage, Resources, RunnerLevel, RunnerMessage, Time, UpstreamState,
+};
 
-use super::world::{Direction, Event, TestJob, Without, World, test_job};
+use super::world::{Direction, Event, TestJob, Without, World, route, test_job};
 
 /// The duration of the load, in microseconds.
 const LOAD: u64 = 3_000_000;
@@ -232,3 +238,92 @@
         assert_eq!(world.violations, Vec::<String>::new());
     }
 }
+
+/// Returns what a planner sends for a job of two tasks that takes nearly all that is free at a runner,
+/// whose links start with this sequence number.
+fn sent_to(link_seq: u64) -> Vec<PlannerMessage> {
+    let amount = |cpu| Resources {
+        cpu,
+        memory: 1_000,
+        gpu: 0,
+    };
+    let (now, link) = (Time(1_000_000), LinkNo(1));
+    let mut planner = Planner::new(PlannerSettings::default(), now);
+    let hello = RunnerMessage::Hello {
+        name: "r1".into(),
+        domain: "d1".into(),
+        incarnation: 1,
+        link_seq,
+        replica_version: 0,
+    };
+    planner.message(now, link, hello);
+    let state = UpstreamState {
+        start_seq: 0,
+        accepting: true,
+        service: "work".into(),
+        capacity: amount(8_000),
+        free: amount(4_000),
+        queued: Vec::new(),
+        run_time: Micros::from_millis(100),
+        speed: 1_000,
+        labels: Vec::new(),
+    };
+    planner.message(now, link, RunnerMessage::State(state));
+    planner.drain();
+    let submission = NewJob {
+        id: JobId(u64::MAX / 3),
+        route: route(),
+        config_version: 1,
+        spec: "x".into(),
+        request: "".into(),
+        steps: vec![Step {
+            count: 2,
+            demand: Resources {
+                memory: 64,
+                ..amount(2_000)
+            },
+            declared_runtime: Micros::from_millis(200),
+            ..Step::default()
+        }],
+        deadline: Time(4_000_000),
+    };
+    planner.submit(now, Caller(1), submission);
+    let mut messages = Vec::new();
+    for step in planner.drain() {
+        if let PlannerStep::Send { message, .. } = step {
+            messages.push(message);
+        }
+    }
+    messages
+}
+
+#[test]
+fn runners_that_do_not_know_claims_are_sent_starts() {
+    assert!(matches!(sent_to(1)[..], [PlannerMessage::Start(_)]));
+    let of_crashes = RunnerLevel::CRASHES.mark_link(1);
+    assert!(matches!(
+        sent_to(of_crashes)[..],
+        [PlannerMessage::Start(_)]
+    ));
+    let of_room = RunnerLevel::ROOM.mark_link(1);
+    assert!(matches!(sent_to(of_room)[..], [PlannerMessage::Claim(_)]));
+}
+
+#[test]
+fn a_claim_costs_two_short_messages_a_runner() {
+    let sent = sent_to(RunnerLevel::ROOM.mark_link(1));
+    let [PlannerMessage::Claim(claim)] = &sent[..] else {
+        panic!("no claim: {sent:?}");
+    };
+    let runs = claim.start.start.runs.clone();
+    let mut frames = [const { Vec::new() }; 4];
+    let start = PlannerMessage::StartOrdered(claim.start.clone());
+    write_frame(&mut frames[0], &start).expect("a frame");
+    write_frame(&mut frames[1], &sent[0]).expect("a frame");
+    write_frame(&mut frames[2], &RunnerMessage::Claimed(runs.clone())).expect("a frame");
+    write_frame(&mut frames[3], &PlannerMessage::Confirm(runs)).expect("a frame");
+    let [start, claim, claimed, confirm] = frames.map(|f| f.len());
+    println!("bytes: start {start}, claim {claim}, claimed {claimed}, confirm {confirm}");
+    assert!(claim <= start + 5);
+    assert!(claimed + confirm <= 80);
+}
