--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -2,6 +2,7 @@
 
 use chervilring_wire::{PlannerMessage, RunnerMessage, Time, UpstreamState};
 
+use super::claims::Claim;
 use super::event::{LossCause, PlannerEvent};
 use super::links::LinkNo;
 use super::state::{Planner, PlannerStep};
@@ -71,6 +72,7 @@
                         job.started_at.get_or_insert(now);
                         job.tasks[index].started_attempt = run.attempt;
                         job.tasks[index].running_since = Some((run.attempt, now));
+                        job.tasks[index].claim = Claim::None;
                     }
                     self.check_job(now, seq);
                 }
@@ -96,7 +98,8 @@
                 }
             }
             RunnerMessage::RunTimes(rows) => self.recall_run_times(&rows),
-            RunnerMessage::Claimed(_) | RunnerMessage::Load(_) => {}
+            RunnerMessage::Claimed(runs) => self.record_claims(now, link, &runs),
+            RunnerMessage::Load(_) => {}
         }
     }
 
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod candidates;
 mod choice;
+mod claims;
 mod crashes;
 mod doubts;
 mod evacuation;
@@ -16,6 +17,7 @@
 mod order;
 mod periodic;
 mod placing;
+mod queue_timeouts;
 mod ratios;
 mod replicas;
 mod resubmission;
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -2,6 +2,7 @@
 
 mod call;
 mod call_times;
+mod claims;
 mod dialer;
 mod doubts;
 mod evacuation;
@@ -27,7 +28,7 @@
     CallOutcome, CallRefusal, ListedEnd, ListedRun, RunLists, UpstreamCall, UpstreamIncarnation,
 };
 pub use dialer::{DialAction, Dialer, PLANNERS_PER_RUNNER};
-pub use event::RunnerEvent;
+pub use event::{ClaimEnd, RunnerEvent};
 pub use headroom::{Headroom, Reserve};
 pub use lease::Lease;
 pub use pace::{Progress, RunPace, expected_speed};
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -21,7 +21,7 @@
 use links::Link;
 use processes::{Process, pause, process};
 
-use crate::upstream::Upstream;
+use crate::upstream::{TaskId, Upstream};
 
 /// The one-way delay between two processes.
 const HOP: u64 = 500;
@@ -65,6 +65,10 @@
     EvacuationReads,
     /// Whatever is heard last counts, however old it is.
     EvacuationOrder,
+    /// Planners send starts where they would claim room.
+    Claims,
+    /// Runners start claimed runs without waiting for the confirmation.
+    Confirmation,
     /// Runners do not guard the capacity: upstreams report more than they have.
     CapacityAccounting,
 }
@@ -137,6 +141,8 @@
     pub(crate) lossy: (Time, f64),
     /// The maximum delay of answers to starts and stops, by which they overtake each other.
     pub(crate) jitter: u64,
+    /// The maximum additional delay of packets between processes.
+    pub(crate) hop_jitter: u64,
     /// Upstreams on which tasks stall.
     pub(crate) hangs: BTreeSet<usize>,
     /// Upstreams on which tasks fail.
@@ -159,6 +165,10 @@
     pub(crate) starts: u32,
     /// The number of runs refused by runners for lack of capacity.
     pub(crate) capacity_refusals: u32,
+    /// The same by task.
+    pub(crate) room_refusals: BTreeMap<TaskId, u32>,
+    /// The numbers of messages with claims and with confirmations.
+    pub(crate) claims: (u32, u32),
     /// The number of upstream states sent to planners.
     pub(crate) sent_states: u32,
     /// The number of links closed because they were not needed.
@@ -201,6 +211,7 @@
             muted: BTreeMap::new(),
             lossy: (Time::default(), 0.0),
             jitter: 0,
+            hop_jitter: 0,
             hangs: BTreeSet::new(),
             fails: BTreeSet::new(),
             planners: Vec::new(),
@@ -217,6 +228,8 @@
             started: BTreeMap::new(),
             starts: 0,
             capacity_refusals: 0,
+            room_refusals: BTreeMap::new(),
+            claims: (0, 0),
             sent_states: 0,
             closed_links: 0,
             traced: std::env::var_os("CHERVILRING_TRACE").is_some(),
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -4,7 +4,7 @@
 
 use chervilring_core::runs::planner::{PlannerEvent, PlannerStep};
 use chervilring_core::runs::runner::{CallOutcome, RunnerStep, UpstreamCall};
-use chervilring_wire::{RefuseReason, RunKey, RunnerMessage, Time};
+use chervilring_wire::{PlannerMessage, RefuseReason, RunKey, RunnerMessage, Time};
 
 use super::links::Packet;
 use super::{CALL_TIME, Event, NEAR, POLL_TIME, REPORT, TestJob, Without, World};
@@ -13,7 +13,17 @@
 impl World {
     pub(super) fn planner_step(&mut self, p: usize, step: PlannerStep) {
         match step {
-            PlannerStep::Send { link, message } => self.send(link.0, Packet::ToRunner(message)),
+            PlannerStep::Send { link, message } => {
+                self.claims.0 += u32::from(matches!(&message, PlannerMessage::Claim(_)));
+                self.claims.1 += u32::from(matches!(&message, PlannerMessage::Confirm(_)));
+                let message = match message {
+                    PlannerMessage::Claim(claim) if self.without == Without::Confirmation => {
+                        PlannerMessage::StartOrdered(claim.start)
+                    }
+                    message => message,
+                };
+                self.send(link.0, Packet::ToRunner(message));
+            }
             PlannerStep::Close(link) => {
                 self.send(link.0, Packet::EndAtRunner);
             }
@@ -41,9 +51,12 @@
     pub(super) fn runner_step(&mut self, r: usize, step: RunnerStep) {
         match step {
             RunnerStep::Send { link, message } => {
-                let refused = matches!(&message, RunnerMessage::Refused { reason, .. }
-                    if *reason == RefuseReason::Room);
-                self.capacity_refusals += u32::from(refused);
+                if let RunnerMessage::Refused { run, reason } = &message
+                    && *reason == RefuseReason::Room
+                {
+                    self.capacity_refusals += 1;
+                    *self.room_refusals.entry(task_of(run)).or_default() += 1;
+                }
                 self.sent_states += u32::from(matches!(&message, RunnerMessage::State(_)));
                 self.send(link.0, Packet::ToPlanner(message));
             }
