--- a/crates/chervilring_core/src/runs/planner/claims.rs
+++ b/crates/chervilring_core/src/runs/planner/claims.rs
@@ -1,49 +1,69 @@
-//! Claims: a job whose room is short starts once all its tasks have room, and not before.
+//! Claims: each task of an urgent wide job claims room at two upstreams, and starts where it has room
+//! first.
 //!
-//! They answer loads under which upstreams are nearly full and several planners count on the same room:
-//! some tasks of a wide job start, the others wait until its answer is useless, and the cores of those
-//! that ran were spent in vain. With ample room no claims are made, and starts cost no round trip.
+//! They answer loads under which nearly all upstreams are full and urgent jobs are wide: with one
+//! upstream a task, a job is as late as the one whose upstream has no end of a run for longest. A task
+//! that waits at two places seldom waits long, and no room has to be kept free for it. The other claim
+//! is given back as soon as one has room. With ample room no claims are made, and starts cost no round
+//! trip.
 
-use std::collections::BTreeMap;
+use chervilring_wire::{Micros, Name, PlannerMessage, Resources, RunKey, Time, UpstreamState};
 
-use chervilring_wire::{Micros, PlannerMessage, Resources, RunKey, Time, UpstreamState};
-
-use super::event::PlannerEvent;
+use super::choice::{Candidate, Choice, choose_upstream};
 use super::job::{Job, Task, TaskState};
 use super::links::LinkNo;
+use super::placing::{take_slot, task_times};
 use super::sending::Placement;
 use super::state::{Planner, PlannerStep};
 
-/// The longest time for which a runner holds room: some round trips between distant hosts.
-const MAX_HOLD: Micros = Micros::from_millis(10);
+/// The number of tasks from which a job claims room: with fewer it seldom waits for the slowest.
+const MIN_TASKS: usize = 4;
+
+/// The longest time for which a runner holds room until the confirmation arrives.
+const MAX_HOLD: Micros = Micros::from_millis(30);
 
 /// The share of an upstream up to which runners do not report a change at once.
 const UNREPORTED_SHARE: f64 = 0.125;
 
-/// What the run of a task has of its room.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) enum Claim {
-    /// There is no claim: it starts when it has room.
-    #[default]
-    None,
-    /// Room is claimed.
-    Requested,
-    /// The runner holds the room until the run is confirmed.
-    Held,
+/// A second claim for a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Spare {
+    pub(super) link: LinkNo,
+    pub(super) attempt: u32,
+    /// The run time that the task is expected to take there at speed one.
+    pub(super) sent_runtime: Micros,
 }
 
 impl Task {
-    /// Returns the link over which room is claimed for its run and not confirmed.
-    fn claim_link(&self) -> Option<LinkNo> {
+    /// Returns whether its run cannot have started, as its claim was not confirmed.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        self.claimed && matches!(self.state, TaskState::Sent { .. })
+    }
+
+    /// Returns whether an attempt was sent over a link and its end is not known.
+    pub(super) fn has_run(&self, attempt: u32, link: LinkNo) -> bool {
+        if attempt != self.attempt {
+            let spare = self.spare.filter(|s| s.attempt == attempt);
+            return spare.is_some_and(|s| s.link == link);
+        }
         match self.state {
-            TaskState::Sent { link, .. } if self.claim != Claim::None => Some(link),
-            _ => None,
+            TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => l == link,
+            TaskState::Waiting(_) | TaskState::Done => false,
         }
     }
 
-    /// Returns whether its run cannot have started, as its claim was not confirmed.
-    pub(super) fn is_unconfirmed(&self) -> bool {
-        self.claim_link().is_some()
+    /// Makes the spare claim the claim of the task. Returns whether there was one.
+    fn promote_spare(&mut self, now: Time) -> bool {
+        let Some(spare) = self.spare.take() else {
+            return false;
+        };
+        self.attempt = spare.attempt;
+        self.sent_runtime = spare.sent_runtime;
+        self.state = TaskState::Sent {
+            link: spare.link,
+            at: now,
+        };
+        true
     }
 }
 
@@ -53,30 +73,35 @@
         now.duration_until(self.start_deadline).min(MAX_HOLD)
     }
 
+    /// Returns the spare claims, each with the link to its upstream.
+    pub(super) fn spare_runs(&self) -> impl Iterator<Item = (RunKey, LinkNo)> + '_ {
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter_map(|(index, task)| {
+            let spare = task.spare?;
+            let run = RunKey {
+                attempt: spare.attempt,
+                ..self.run_key(index)
+            };
+            Some((run, spare.link))
+        })
+    }
+
     fn has_claims(&self) -> bool {
         self.tasks.iter().any(Task::is_unconfirmed)
     }
 
-    /// Returns whether no task lacks room that could start now.
-    fn is_all_claimed(&self) -> bool {
-        let lacks_room = |t: &Task| match t.state {
-            TaskState::Waiting(_) => self.is_step_ready(t.step),
-            TaskState::Sent { .. } => t.claim == Claim::Requested,
-            TaskState::Stopping(_) | TaskState::Done => false,
-        };
-        !self.tasks.iter().any(lacks_room)
+    /// Returns the tasks of a step with a claim that is not confirmed, and no spare one.
+    fn lone_claims(&self, step: usize) -> Vec<usize> {
+        let is_lone = |t: &Task| t.step == step && t.spare.is_none() && t.is_unconfirmed();
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(|(_, t)| is_lone(t)).map(|(i, _)| i).collect()
     }
 }
 
 impl Planner {
-    /// Returns whether the room of placements is claimed before they start: those of a job of several
-    /// tasks that has not started, where all are believed to have room and some of it is short.
-    ///
-    /// Tasks that have to wait for room are not claimed: what the others hold would lie idle meanwhile.
-    pub(super) fn should_claim(&self, seq: u64, placements: &[Placement], unplaced: u32) -> bool {
-        let Some(job) = self.jobs.get(&seq) else {
-            return false;
-        };
+    /// Returns whether the tasks of placements claim their room: those of a wide job that has not
+    /// started, where room is short and the job has less time than a run usually takes to end.
+    pub(super) fn should_claim(&self, now: Time, job: &Job, placements: &[Placement]) -> bool {
         let knows_claims = |p: &Placement| {
             let upstream = self.links.get(&p.link);
             upstream.is_some_and(|u| u.source.knows_room())
@@ -88,63 +113,157 @@
         if job.has_claims() {
             return true;
         }
-        let runs: usize = placements.iter().map(|p| p.tasks.len()).sum();
-        let is_whole = runs > 1 && unplaced == 0 && !job.may_have_started();
-        let is_free = placements.iter().all(|p| p.is_free);
-        is_whole && is_free && placements.iter().any(|p| p.is_short)
+        let is_urgent = |p: &Placement| {
+            let state = self.links.get(&p.link).and_then(|u| u.state.as_ref());
+            let slack = job.urgency(now, p.run_time).slack;
+            state.is_some_and(|(s, _)| slack < s.run_time)
+        };
+        let tasks: usize = placements.iter().map(|p| p.tasks.len()).sum();
+        tasks >= MIN_TASKS
+            && !job.may_have_started()
+            && placements.iter().any(|p| p.is_short)
+            && placements.iter().any(is_urgent)
     }
 
-    /// Records that a runner holds room for claimed runs, and confirms the jobs that have all.
-    pub(super) fn record_claims(&mut self, now: Time, link: LinkNo, runs: &[RunKey]) {
-        for run in runs {
-            if !self.was_sent_over(run, link) {
-                continue;
-            }
-            let Some(&(seq, index)) = self.runs.get(run) else {
-                continue;
-            };
+    /// Claims spare room for the tasks of a step whose room was claimed.
+    pub(super) fn claim_spares(&mut self, now: Time, seq: u64, step: usize) {
+        for placement in self.choose_spares(now, seq, step) {
             let Some(job) = self.jobs.get_mut(&seq) else {
+                return;
+            };
+            let runs = mark_spares(job, &placement);
+            self.send_runs(now, (seq, step), &placement, runs, true);
+        }
+    }
+
+    fn choose_spares(&mut self, now: Time, seq: u64, step: usize) -> Vec<Placement> {
+        // A separate generator, because the tables stay borrowed below.
+        let mut random = self.random.fork();
+        let Some(job) = self.jobs.get(&seq) else {
+            return Vec::new();
+        };
+        let lone = job.lone_claims(step);
+        if lone.is_empty() {
+            return Vec::new();
+        }
+        let demand = &job.submission.steps[step].demand;
+        let mut slots = self.slots(now, job, step);
+        let times = task_times(now, job);
+        let mut placements: Vec<Placement> = Vec::new();
+        for task in lone {
+            let TaskState::Sent { link, .. } = job.tasks[task].state else {
                 continue;
             };
-            let task = &mut job.tasks[index];
-            if task.claim == Claim::Requested {
-                task.claim = Claim::Held;
+            let avoid: Option<&Name> = self.links.get(&link).map(|u| &u.name);
+            let candidates = slots.iter().map(|s| s.candidate(demand, avoid));
+            let candidates: Vec<Candidate> = candidates.collect();
+            if let Choice::Place(index) = choose_upstream(&candidates, &times, || random.f64()) {
+                take_slot(&mut slots[index], demand, task, &mut placements);
             }
-            if !job.cancelling && job.is_all_claimed() {
-                self.confirm_claims(now, seq);
+        }
+        placements
+    }
+
+    /// Confirms the runs of a link for which their runner holds room.
+    pub(super) fn confirm_claims(&mut self, now: Time, link: LinkNo, runs: &[RunKey]) {
+        let mut confirmed: Vec<RunKey> = Vec::with_capacity(runs.len());
+        for &run in runs {
+            if self.was_sent_over(&run, link) && self.bind_task(now, run) {
+                confirmed.push(run);
             }
         }
+        if !confirmed.is_empty() {
+            let message = PlannerMessage::Confirm(confirmed);
+            self.steps.push(PlannerStep::Send { link, message });
+        }
     }
 
-    /// Confirms all claims of a job, so that its runs start. Those that have no room yet wait for it
-    /// as other runs do.
-    pub(super) fn confirm_claims(&mut self, now: Time, seq: u64) {
+    /// Binds a task to the upstream that holds room for a run of it, and gives back its other claim.
+    /// Returns whether the run is to be confirmed.
+    fn bind_task(&mut self, now: Time, run: RunKey) -> bool {
+        let Some(&(seq, index)) = self.runs.get(&run) else {
+            return false;
+        };
         let Some(job) = self.jobs.get_mut(&seq) else {
-            return;
+            return false;
         };
-        let mut by_link: BTreeMap<LinkNo, Vec<RunKey>> = BTreeMap::new();
-        for index in 0..job.tasks.len() {
-            let Some(link) = job.tasks[index].claim_link() else {
-                continue;
-            };
-            job.tasks[index].claim = Claim::None;
-            by_link.entry(link).or_default().push(job.run_key(index));
-        }
-        if by_link.is_empty() {
-            return;
+        if job.cancelling || !job.tasks[index].is_unconfirmed() {
+            return false;
         }
-        let event = PlannerEvent::Confirmed {
-            job: job.submission.id,
-            runs: by_link.values().map(Vec::len).sum(),
-            runners: by_link.len(),
-            waited: now.duration_since(job.arrived),
+        let is_spare = run.attempt != job.tasks[index].attempt;
+        let other = if is_spare {
+            let first = job.run_key(index);
+            let link = job.tasks[index].sent_link();
+            link.map(|l| (first, l))
+        } else {
+            job.spare_runs().find(|(r, _)| r.task() == run.task())
         };
-        self.steps.push(PlannerStep::Log(event));
-        for (link, runs) in by_link {
-            let message = PlannerMessage::Confirm(runs);
+        let task = &mut job.tasks[index];
+        if is_spare {
+            task.promote_spare(now);
+        }
+        task.spare = None;
+        task.claimed = false;
+        if let Some((run, link)) = other {
+            self.runs.remove(&run);
+            let message = PlannerMessage::CancelQueued(vec![run]);
             self.steps.push(PlannerStep::Send { link, message });
         }
+        true
+    }
+
+    /// Forgets a lost claim if its task has another one. Returns whether it has.
+    pub(super) fn drop_claim(&mut self, now: Time, run: RunKey) -> bool {
+        let Some(&(seq, index)) = self.runs.get(&run) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&seq) else {
+            return false;
+        };
+        let task = &mut job.tasks[index];
+        let is_spare = run.attempt != task.attempt;
+        if is_spare {
+            task.spare = None;
+        }
+        let has_other = is_spare || task.promote_spare(now);
+        if has_other {
+            self.runs.remove(&run);
+        }
+        has_other
+    }
+
+    /// Forgets the spare claims over a link that has ended.
+    pub(super) fn drop_spares(&mut self, link: LinkNo) {
+        for job in self.jobs.values_mut() {
+            let spares = job.spare_runs().filter(|(_, l)| *l == link);
+            let lost: Vec<RunKey> = spares.map(|(run, _)| run).collect();
+            for run in lost {
+                if let Some((_, index)) = self.runs.remove(&run) {
+                    job.tasks[index].spare = None;
+                }
+            }
+        }
+    }
+}
+
+/// Records the spare claims of a placement and returns their runs.
+fn mark_spares(job: &mut Job, placement: &Placement) -> Vec<RunKey> {
+    let mut runs = Vec::with_capacity(placement.tasks.len());
+    for &index in &placement.tasks {
+        let run = job.run_key(index);
+        let task = &mut job.tasks[index];
+        task.last_attempt += 1;
+        task.spare = Some(Spare {
+            link: placement.link,
+            attempt: task.last_attempt,
+            sent_runtime: placement.declared_runtime,
+        });
+        runs.push(RunKey {
+            attempt: task.last_attempt,
+            ..run
+        });
     }
+    runs
 }
 
 /// Returns whether room is short on an upstream where `requested`, which includes the runs to be
--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -25,17 +25,6 @@
         /// Whether their room is claimed, and they start only once they are confirmed.
         claimed: bool,
     },
-    /// All tasks of a job have room, and start.
-    Confirmed {
-        /// The job.
-        job: JobId,
-        /// The number of confirmed runs.
-        runs: usize,
-        /// The number of runners that hold their room.
-        runners: usize,
-        /// How long the job had waited since its arrival.
-        waited: Micros,
-    },
     /// A job was queued because its tasks found no capacity.
     Queued {
         /// The job.
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -5,7 +5,7 @@
 use chervilring_wire::{JobId, Micros, Name, Resources, RunKey, Time};
 use rustc_hash::FxHashMap;
 
-use super::claims::Claim;
+use super::claims::Spare;
 use super::crashes::{CrashVerdict, Crashes};
 use super::links::LinkNo;
 use super::state::JobAnswer;
@@ -82,8 +82,12 @@
     pub(super) state: TaskState,
     /// The number of the latest attempt.
     pub(super) attempt: u32,
-    /// What the latest attempt has of its room.
-    pub(super) claim: Claim,
+    /// The highest number of an attempt so far, that of a spare claim included.
+    pub(super) last_attempt: u32,
+    /// The second claim, until one of both has room.
+    pub(super) spare: Option<Spare>,
+    /// Whether the latest attempt claims its room and is not confirmed.
+    pub(super) claimed: bool,
     /// The run time that the latest attempt is expected to take at speed one, where it was sent.
     pub(super) sent_runtime: Micros,
     /// The number of failed attempts.
@@ -147,6 +151,16 @@
     pub(super) sent_runs: u32,
 }
 
+impl Task {
+    /// Returns the link over which its latest attempt was sent, if that may be queued or running.
+    pub(super) fn sent_link(&self) -> Option<LinkNo> {
+        match self.state {
+            TaskState::Sent { link, .. } | TaskState::Stopping(link) => Some(link),
+            TaskState::Waiting(_) | TaskState::Done => None,
+        }
+    }
+}
+
 impl Job {
     /// Returns the run key of a task's latest attempt.
     pub(super) fn run_key(&self, task: usize) -> RunKey {
@@ -164,7 +178,7 @@
     pub(super) fn past(&self, expires_at: Time) -> PastJob {
         let crashed = self.tasks.iter().filter(|t| t.crashes.all > 0);
         PastJob {
-            attempt: self.tasks.iter().map(|t| t.attempt).max().unwrap_or(0),
+            attempt: self.tasks.iter().map(|t| t.last_attempt).max().unwrap_or(0),
             crashes: crashed.map(|t| ((t.step, t.index), t.crashes)).collect(),
             expires_at,
         }
@@ -220,7 +234,9 @@
             TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => t.step == step && l == link,
             TaskState::Waiting(_) | TaskState::Done => false,
         };
-        self.tasks.iter().filter(here).count() as u32
+        let spares = self.spare_runs();
+        let spares = spares.filter(|(r, l)| r.step as usize == step && *l == link);
+        (self.tasks.iter().filter(here).count() + spares.count()) as u32
     }
 
     /// Returns when the job must be checked again even if no message arrives.
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -2,7 +2,6 @@
 
 use chervilring_wire::{PlannerMessage, RunnerMessage, Time, UpstreamState};
 
-use super::claims::Claim;
 use super::event::{LossCause, PlannerEvent};
 use super::links::LinkNo;
 use super::state::{Planner, PlannerStep};
@@ -72,7 +71,7 @@
                         job.started_at.get_or_insert(now);
                         job.tasks[index].started_attempt = run.attempt;
                         job.tasks[index].running_since = Some((run.attempt, now));
-                        job.tasks[index].claim = Claim::None;
+                        job.tasks[index].claimed = false;
                     }
                     self.check_job(now, seq);
                 }
@@ -98,7 +97,7 @@
                 }
             }
             RunnerMessage::RunTimes(rows) => self.recall_run_times(&rows),
-            RunnerMessage::Claimed(runs) => self.record_claims(now, link, &runs),
+            RunnerMessage::Claimed(runs) => self.confirm_claims(now, link, &runs),
             RunnerMessage::Load(_) => {}
         }
     }
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -1,6 +1,6 @@
 //! Placement of the tasks of a job on upstreams.
 
-use chervilring_wire::{Micros, Resources, Time, UpstreamState};
+use chervilring_wire::{Resources, Time, UpstreamState};
 
 use super::candidates::{UpstreamSlot, could_run};
 use super::choice::{Candidate, Choice, TaskTimes, choose_upstream};
@@ -53,6 +53,7 @@
             return unplaced;
         }
         self.send(now, seq, step, placements, unplaced);
+        self.claim_spares(now, seq, step);
         unplaced
     }
 
@@ -113,7 +114,6 @@
                 Choice::Place(index) => {
                     let placed = take_slot(&mut slots[index], demand, task, &mut placements);
                     placed.can_move &= can_move(&candidates, index, &times);
-                    placed.is_free &= candidates[index].queue_wait == Micros::default();
                 }
                 Choice::Wait => unplaced += 1,
             }
@@ -123,7 +123,7 @@
 }
 
 /// Returns the times that the tasks of a job must meet.
-fn task_times(now: Time, job: &Job) -> TaskTimes {
+pub(super) fn task_times(now: Time, job: &Job) -> TaskTimes {
     let job_started = job.started_at.is_some();
     TaskTimes {
         now,
@@ -139,7 +139,7 @@
 }
 
 /// Adds a task to the placement on an upstream, which has less room from then on. Returns the placement.
-fn take_slot<'p>(
+pub(super) fn take_slot<'p>(
     slot: &mut UpstreamSlot<'_>,
     demand: &Resources,
     task: usize,
@@ -156,7 +156,6 @@
             declared_runtime: slot.declared_runtime,
             run_time: slot.run_time,
             can_move: true,
-            is_free: true,
             is_short: false,
             tasks: Vec::new(),
         });
--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -12,8 +12,6 @@
     GivenBack,
     /// Its deadline passed, or the upstream accepts no more runs.
     RunOut,
-    /// This claim, which ranks before it, took over its room. It waits in the queue again.
-    TakenOver(RunKey),
 }
 
 /// A decision of the runner, or a change of what it knows, together with its cause.
@@ -37,7 +35,7 @@
         /// The free resources.
         free: Resources,
     },
-    /// A run has room and its start is sent.
+    /// A run has room: its start is sent, or the room is held for its claim.
     Begun {
         /// The run.
         run: RunKey,
@@ -60,8 +58,6 @@
     ClaimConfirmed {
         /// The run.
         run: RunKey,
-        /// Whether it still had its room, so that it starts at once.
-        has_room: bool,
     },
     /// Room is no longer held for a claimed run that was not confirmed.
     ClaimEnded {
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -7,7 +7,6 @@
 mod doubts;
 mod evacuation;
 mod event;
-mod headroom;
 mod incarnations;
 mod lease;
 mod link_systems;
@@ -29,7 +28,6 @@
 };
 pub use dialer::{DialAction, Dialer, PLANNERS_PER_RUNNER};
 pub use event::{ClaimEnd, RunnerEvent};
-pub use headroom::{Headroom, Reserve};
 pub use lease::Lease;
 pub use pace::{Progress, RunPace, expected_speed};
 pub use record::UpstreamRecord;
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -33,15 +33,6 @@
         }
         let free = self.free_capacity();
         let start_deadline = now + start.queue_timeout;
-        let priority = if urgency.started { 0 } else { urgency.priority };
-        let tasks = start.runs.len();
-        self.headroom.record(
-            now,
-            urgency.priority,
-            tasks,
-            start.declared_runtime,
-            &start.demand,
-        );
         let first = start.runs.first().copied();
         let mut accepted = 0;
         for run in start.runs {
@@ -63,7 +54,6 @@
                 unanswered: 0,
                 accepted: now,
                 start_deadline,
-                priority,
                 order,
                 claim,
                 retry_at: None,
@@ -110,11 +100,9 @@
         order.sort_unstable();
         let open = self.is_accepting();
         let mut free = self.free_capacity();
-        let capacity = self.upstream.as_ref().map(|u| u.report.capacity);
-        let reserve = capacity.and_then(|all| self.headroom.reserve(now, &all));
         let mut claimed: Vec<RunKey> = Vec::new();
         for (_, run) in order {
-            let Some(row) = self.runs.get(&run) else {
+            let Some(row) = self.runs.get_mut(&run) else {
                 continue;
             };
             if now > row.start_deadline || !open || row.stop_requested {
@@ -127,13 +115,6 @@
                 continue;
             }
             if !free.can_fit(&row.demand) {
-                free = self.take_over_room(run, free);
-            }
-            let Some(row) = self.runs.get_mut(&run) else {
-                continue;
-            };
-            let kept = reserve.map_or(0, |r| r.kept_from(row.priority, &row.demand));
-            if !free.can_fit(&row.demand) || free.cpu < row.demand.cpu + kept {
                 continue;
             }
             free = free.saturating_sub(&row.demand);
@@ -202,8 +183,7 @@
         }
         // Another run of the same task is still here, for another planner or because it is being
         // stopped.
-        let task = |r: &RunKey| (r.job, r.occurrence, r.step, r.index);
-        let duplicate = self.runs.keys().any(|r| task(r) == task(run));
+        let duplicate = self.runs.keys().any(|r| r.task() == run.task());
         if duplicate {
             return Some(RefuseReason::Twin);
         }
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -11,7 +11,6 @@
 use super::claims::Claim;
 use super::doubts::ToldDoubts;
 use super::event::RunnerEvent;
-use super::headroom::Headroom;
 use super::links::Link;
 use super::pace::RunPace;
 use super::record::UpstreamRecord;
@@ -93,8 +92,6 @@
     pub(super) accepted: Time,
     /// When the run is refused if it has not started.
     pub(super) start_deadline: Time,
-    /// The priority of its route, or zero if other tasks of its job have started.
-    pub(super) priority: u32,
     /// Its place among the queued runs.
     pub(super) order: WorkOrder,
     /// Set while it is a claim: it must not start before it is confirmed.
@@ -133,8 +130,6 @@
     pub(super) speed: Speed,
     /// The last stored speed, in thousandths, and the earliest time to store another one.
     pub(super) stored_speed: (u32, Time),
-    /// The room kept free for the most urgent work.
-    pub(super) headroom: Headroom,
     /// When the leases granted by an earlier incarnation of this runner have certainly expired.
     pub(super) prior_expiry: Time,
     /// What planners are told about starts without answer.
@@ -170,7 +165,6 @@
             mean_run_time: INITIAL_RUN_TIME,
             speed: Speed::default(),
             stored_speed: (Speed::default().permille(), now),
-            headroom: Headroom::default(),
             prior_expiry: now + MAX_ORPHAN_TIME,
             doubts: ToldDoubts::default(),
         }
@@ -231,8 +225,7 @@
             }
             PlannerMessage::StartOrdered(start) => self.accept_runs(now, link, start, None),
             PlannerMessage::Claim(ClaimRuns { start, hold }) => {
-                let priority = start.urgency.priority;
-                self.accept_runs(now, link, start, Some(Claim { hold, priority }));
+                self.accept_runs(now, link, start, Some(Claim { hold }));
             }
             PlannerMessage::Confirm(runs) => self.confirm_claims(now, link, runs),
             PlannerMessage::KnowsRoom => {
--- a/crates/chervilring_daemon/src/runs/planner_report.rs
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -24,7 +24,6 @@
     abandoned: Counter<u64>,
     met: Counter<u64>,
     claimed: Counter<u64>,
-    confirmed: Counter<u64>,
     lost: Counter<u64>,
     crashes: Counter<u64>,
     links: Counter<u64>,
@@ -57,7 +56,6 @@
             abandoned: metrics.counter("jobs_abandoned", "Jobs whose callers left"),
             met: metrics.counter("jobs_in_time", "Jobs that were done within their objective"),
             claimed: metrics.counter("placements_claimed", "Placements whose room was claimed"),
-            confirmed: metrics.counter("jobs_confirmed", "Jobs whose claims were confirmed"),
             lost: metrics.counter("runs_lost", "Runs that came to nothing"),
             crashes: metrics.counter("runs_crashed", "Runs under which their upstream crashed"),
             links: metrics.counter("links_lost", "Links to runners that were lost"),
@@ -80,7 +78,6 @@
                 self.crashes.add(u64::from(is_crash), &[]);
             }
             PlannerEvent::Placed { claimed, .. } => self.claimed.add(u64::from(*claimed), &[]),
-            PlannerEvent::Confirmed { .. } => self.confirmed.add(1, &[]),
             PlannerEvent::Abandoned { .. } => self.abandoned.add(1, &[]),
             PlannerEvent::LinkDown { .. } => self.links.add(1, &[]),
             PlannerEvent::UpstreamEjected { .. } => self.out.add(1, &[]),
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chervilring_core::runs::runner::{ClaimEnd, RunnerEvent};
+use chervilring_core::runs::runner::RunnerEvent;
 use chervilring_wire::Micros;
 use slog::{Logger, debug, info, warn};
 
@@ -26,20 +26,14 @@
         RunnerEvent::Begun { run, waited } if *waited >= LOGGED_WAIT => {
             info!(log, "run begun"; "job" => %run.job, "run" => %run, "waited_us" => waited.0);
         }
-        // Counted. The line on the missing answer tells the rest.
-        RunnerEvent::Begun { .. } | RunnerEvent::StartRepeated { .. } => {}
+        // Counted. The lines on placements, refusals and missing answers tell the rest.
+        RunnerEvent::Begun { .. }
+        | RunnerEvent::StartRepeated { .. }
+        | RunnerEvent::ClaimConfirmed { .. }
+        | RunnerEvent::ClaimEnded { .. } => {}
         RunnerEvent::Claimed { run, runs } => {
             info!(log, "room held"; "job" => %run.job, "run" => %run, "runs" => runs);
         }
-        RunnerEvent::ClaimConfirmed { run, has_room } => {
-            info!(log, "claim confirmed"; "job" => %run.job, "run" => %run, "has_room" => has_room);
-        }
-        RunnerEvent::ClaimEnded { run, end } => {
-            // Other ends are followed by the line of the run's refusal.
-            if let ClaimEnd::TakenOver(by) = end {
-                info!(log, "claim taken over"; "job" => %run.job, "run" => %run, "by" => %by);
-            }
-        }
         RunnerEvent::NotStarted { run, reason } => {
             info!(log, "run not started"; "job" => %run.job, "run" => %run, "why" => ?reason);
         }
--- a/crates/chervilring_daemon/src/runs/runner_report.rs
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -20,7 +20,6 @@
     confirmed: Counter<u64>,
     given_back: Counter<u64>,
     run_out: Counter<u64>,
-    taken_over: Counter<u64>,
     done: Counter<u64>,
     failed: Counter<u64>,
     stopped: Counter<u64>,
@@ -53,10 +52,6 @@
                 "Claims given back by their planner, or lost with the link to it",
             ),
             run_out: metrics.counter("claims_run_out", "Claims not confirmed by their deadline"),
-            taken_over: metrics.counter(
-                "claims_taken_over",
-                "Claims whose room a claim took that ranks before them",
-            ),
             done: metrics.counter("runs_done", "Runs that were done"),
             failed: metrics.counter("runs_failed", "Runs that failed"),
             stopped: metrics.counter("runs_stopped", "Runs that were stopped"),
@@ -87,7 +82,6 @@
                 let counter = match end {
                     ClaimEnd::GivenBack => &self.given_back,
                     ClaimEnd::RunOut => &self.run_out,
-                    ClaimEnd::TakenOver(_) => &self.taken_over,
                 };
                 counter.add(1, &[]);
             }
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -41,6 +41,16 @@
     pub attempt: u32,
 }
 
+impl RunKey {
+    /// Returns the key of the task's first attempt: it is the same for all runs of the task.
+    pub fn task(&self) -> Self {
+        Self {
+            attempt: 1,
+            ..*self
+        }
+    }
+}
+
 impl fmt::Display for RunKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
