Run times: small differences from declared ones change nothing, and speeds are measured from one

The usual speed is now one as long as a third of the upstreams lies on each side of it, and ratios within 15 % of one count as one.

--- a/crates/chervilring_core/src/runs/planner/run_times.rs
+++ b/crates/chervilring_core/src/runs/planner/run_times.rs
@@ -27,6 +27,10 @@
 /// tasks of such a job are done, so that a fair chance is worth a run.
 const HOPEFUL_SHARE: f64 = 0.25;
 
+/// The ratio from which run times clearly differ from those declared: the scale of speeds is not
+/// known better.
+const CLEAR_RATIO: f64 = 1.15;
+
 /// What a planner has learnt of run times.
 #[derive(Debug, Default)]
 pub(super) struct RunTimes {
@@ -52,6 +56,16 @@
         self.usual_speeds.get(service).copied().unwrap_or(1.0)
     }
 
+    /// Returns the expected ratio of the run times of a route: one, unless they clearly differ from
+    /// those declared.
+    fn expected_ratio(&self, route: &str) -> f64 {
+        let learnt = self.of_route(route).map_or(1.0, Ratios::median);
+        if learnt.ln().abs() < CLEAR_RATIO.ln() {
+            return 1.0;
+        }
+        learnt
+    }
+
     /// Returns whether a route may have an entry.
     fn may_keep(&self, route: &Name) -> bool {
         let in_force = self.in_force.as_ref();
@@ -69,8 +83,14 @@
     /// Returns the factor from a declared run time to the expected one at speed one, in the scale of
     /// reported speeds.
     pub(super) fn factor(&self, route: &str, service: &ServiceName) -> f64 {
-        let learnt = self.of_route(route);
-        learnt.map_or(1.0, |r| r.median() * self.usual_speed(service))
+        let Some(learnt) = self.of_route(route) else {
+            return 1.0;
+        };
+        let factor = learnt.median() * self.usual_speed(service);
+        if factor.ln().abs() < CLEAR_RATIO.ln() {
+            return 1.0;
+        }
+        factor
     }
 }
 
@@ -85,8 +105,7 @@
     /// Returns the expected run time of a job's longest chain of steps on sound upstreams near its
     /// data.
     pub(super) fn expected_path(&self, submission: &NewJob) -> Micros {
-        let learnt = self.run_times.of_route(&submission.route.name);
-        let ratio = learnt.map_or(1.0, Ratios::median);
+        let ratio = self.run_times.expected_ratio(&submission.route.name);
         scale(submission.critical_path(), ratio)
     }
 
@@ -145,8 +164,7 @@
     /// Tasks that were not measured count as expected.
     pub(super) fn true_objective(&self, job: &Job) -> Micros {
         let route = &job.submission.route;
-        let learnt = self.run_times.of_route(&route.name);
-        let ratio = learnt.map_or(1.0, Ratios::median);
+        let ratio = self.run_times.expected_ratio(&route.name);
         let chain = job.submission.longest_chain(|step, row| {
             let work = |t: &Task| t.work.unwrap_or(scale(row.declared_runtime, ratio));
             let tasks = job.tasks.iter().filter(|t| t.step == step);
@@ -155,7 +173,8 @@
         scale(chain, route.slack_factor) + route.target_duration
     }
 
-    /// Updates the usual speeds of services: the median over their upstreams.
+    /// Updates the usual speeds of services. They are those that run times are declared for as long as
+    /// a third of the upstreams are at least as fast, and a third at most.
     pub(super) fn update_usual_speeds(&mut self) {
         let mut speeds: FxHashMap<&ServiceName, Vec<f64>> = FxHashMap::default();
         for upstream in self.links.values() {
@@ -165,12 +184,15 @@
             let rows = speeds.entry(&state.service).or_default();
             rows.push(upstream.mean_speed.value());
         }
-        let median = |(service, mut rows): (&ServiceName, Vec<f64>)| {
-            let middle = (rows.len() - 1) / 2;
-            let (_, value, _) = rows.select_nth_unstable_by(middle, f64::total_cmp);
-            (service.clone(), *value)
+        let usual = |(service, mut rows): (&ServiceName, Vec<f64>)| {
+            rows.sort_unstable_by(f64::total_cmp);
+            let last = rows.len() - 1;
+            (
+                service.clone(),
+                1.0_f64.clamp(rows[last / 3], rows[last * 2 / 3]),
+            )
         };
-        self.run_times.usual_speeds = speeds.into_iter().map(median).collect();
+        self.run_times.usual_speeds = speeds.into_iter().map(usual).collect();
     }
 
     /// Sends what was learnt to the next of a few runners, which keep it for planners that start.
