Hot racks: work leaves racks whose data much other work wants

Cause: the rack whose data much work names is also used by work that could run anywhere, and where running away from the data takes much longer, nothing else is of use to that work. Change: planners learn the share of the work that names each rack; from a share of its capacity on, work without data there rates its upstreams behind others, without a wait for their sake.

--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -14,6 +14,7 @@
 mod order;
 mod periodic;
 mod placing;
+mod racks;
 mod replicas;
 mod resubmission;
 mod run_ends;
--- a/crates/chervilring_core/tests/runs/placing.rs
+++ b/crates/chervilring_core/tests/runs/placing.rs
@@ -11,6 +11,7 @@
         queue_wait: MS(wait),
         allowed: true,
         queue_full: false,
+        hot: false,
         free_share: free,
     }
 }
