--- a/crates/chervilring_core/src/runs/planner/candidates.rs
+++ b/crates/chervilring_core/src/runs/planner/candidates.rs
@@ -20,8 +20,6 @@
     pub(super) declared_runtime: Micros,
     /// The expected run time of a task there.
     pub(super) run_time: Micros,
-    /// Whether the rack of the upstream is hot and the tasks can leave it to others.
-    hot: bool,
     /// How many more runs it may be sent.
     pub(super) max_runs: u32,
 }
@@ -39,7 +37,6 @@
             queue_wait: expected_wait(self.state, &requested),
             allowed: self.max_runs > 0 && avoid != Some(self.name),
             queue_full,
-            hot: self.hot,
             free_share: (self.state.free.cpu as f64 - self.requested.cpu as f64) / total_cpu,
         }
     }
@@ -78,11 +75,6 @@
             requested: upstream.resources_ahead(remaining),
             declared_runtime,
             run_time,
-            hot: self.leaves_rack(
-                &job.submission.route.service,
-                row.data_rack.as_ref(),
-                &state.labels,
-            ),
             max_runs: self.max_runs(now, job, step, link, upstream)?,
         })
     }
--- a/crates/chervilring_core/src/runs/planner/choice.rs
+++ b/crates/chervilring_core/src/runs/planner/choice.rs
@@ -22,8 +22,6 @@
     pub allowed: bool,
     /// Whether its queue is full of runs that go ahead of the task.
     pub queue_full: bool,
-    /// Whether its rack is hot, and the data of the task elsewhere.
-    pub hot: bool,
     /// The share of its processor that is free. Negative if more is requested than free.
     pub free_share: f64,
 }
@@ -56,8 +54,7 @@
 ///
 /// Among candidates that meet the objective, those without a wait are preferred, then slow ones
 /// over fast ones, then those with more free processor time, so that planners that choose at the
-/// same time seldom choose the same one. Those in hot racks come behind others without a wait. A
-/// started job that is late goes to the candidate where it
+/// same time seldom choose the same one. A started job that is late goes to the candidate where it
 /// ends first, but only if no candidate can meet the objective. A job that has not started and can
 /// only be late goes to one with spare capacity.
 pub fn choose_upstream(
@@ -67,7 +64,6 @@
 ) -> Choice {
     let mut best: Option<(usize, f64)> = None;
     let mut reachable = false;
-    let any_hot = candidates.iter().any(|o| o.hot);
     for (index, candidate) in candidates.iter().enumerate().filter(|(_, o)| o.allowed) {
         reachable = reachable || latest_end(candidate, Micros(0), times) <= times.objective;
         let is_late = latest_end(candidate, candidate.queue_wait, times) > times.objective;
@@ -77,7 +73,7 @@
         {
             continue;
         }
-        let score = rate(candidate, times) + tie() * RANDOM_WEIGHT - hot_cost(candidate, any_hot);
+        let score = rate(candidate, times) + tie() * RANDOM_WEIGHT;
         if best.is_none_or(|(_, best_score)| score > best_score) {
             best = Some((index, score));
         }
@@ -117,18 +113,6 @@
 /// The weight of the wait for capacity, as a share of the time left until the objective.
 const WAIT_WEIGHT: f64 = 8.0;
 
-/// What puts a candidate behind all others: more than they differ by otherwise.
-const HOT_COST: f64 = 10.0;
-
-/// Returns what puts a candidate behind others if one of them is in a hot rack: less for that rack
-/// than for a wait, so that nothing waits for its sake.
-fn hot_cost(candidate: &Candidate, any_hot: bool) -> f64 {
-    if any_hot && candidate.queue_wait > Micros(0) {
-        return 2.0 * HOT_COST;
-    }
-    if candidate.hot { HOT_COST } else { 0.0 }
-}
-
 /// Returns the latest end of a task on a candidate after a wait.
 fn latest_end(candidate: &Candidate, wait: Micros, times: &TaskTimes) -> Time {
     let reserve = Micros((candidate.run_time.0 as f64 * RESERVE) as u64);
--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -2,7 +2,6 @@
 
 use chervilring_wire::{
     DomainName, Evacuations, JobId, Micros, Name, RefuseReason, Resources, RunEnd, RunKey,
-    ServiceName,
 };
 
 use super::state::JobAnswer;
@@ -126,19 +125,6 @@
         /// time.
         speed: f64,
     },
-    /// A rack has become hot, or is no longer hot: work whose data is elsewhere leaves it.
-    RackChanged {
-        /// The service.
-        service: ServiceName,
-        /// The label of the rack.
-        rack: Name,
-        /// Whether it is hot.
-        hot: bool,
-        /// The estimated demand for its data, in thousandths of a core.
-        wanted: u64,
-        /// The capacity of its linked upstreams, in thousandths of a core.
-        capacity: u64,
-    },
     /// Other failure domains are evacuated than before.
     EvacuationsChanged {
         /// The domains, with the revision at which they were read.
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -36,14 +36,6 @@
     pub data_rack: Option<Name>,
 }
 
-impl Step {
-    /// Returns the work of all its tasks, in thousandths of a core times microseconds.
-    pub(super) fn work(&self) -> u64 {
-        let each = self.demand.cpu.saturating_mul(self.declared_runtime.0);
-        each.saturating_mul(u64::from(self.count))
-    }
-}
-
 /// A job as its caller submits it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NewJob {
@@ -258,8 +250,11 @@
     /// Returns the work of all tasks: their processor time, in thousandths of a core times
     /// microseconds.
     pub fn work(&self) -> u64 {
-        let steps = self.steps.iter().map(Step::work);
-        steps.fold(0, u64::saturating_add)
+        let of_step = |s: &Step| {
+            let each = s.demand.cpu.saturating_mul(s.declared_runtime.0);
+            each.saturating_mul(u64::from(s.count))
+        };
+        self.steps.iter().map(of_step).fold(0, u64::saturating_add)
     }
 
     /// Returns the declared run time of the longest chain of dependent steps.
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -14,7 +14,6 @@
 mod order;
 mod periodic;
 mod placing;
-mod racks;
 mod replicas;
 mod resubmission;
 mod run_ends;
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -19,7 +19,6 @@
         self.close_silent_links(now);
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + HEARTBEAT_INTERVAL;
-            self.update_racks(now);
             self.send_heartbeats();
             self.send_replica();
             self.request_replica(now);
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -11,7 +11,6 @@
 use super::event::PlannerEvent;
 use super::job::{Caller, Job, NewJob, PastJob, Task, TaskState};
 use super::links::LinkNo;
-use super::racks::RackDemands;
 use super::resubmission::{JobArrival, ResubmissionDetector};
 use super::settings::PlannerSettings;
 use super::upstream::{Profile, Upstream};
@@ -104,8 +103,6 @@
     pub(super) past_jobs: FxHashMap<JobId, PastJob>,
     /// Tells resubmissions from new jobs.
     pub(super) resubmissions: ResubmissionDetector,
-    /// The demand for the racks that hold data.
-    pub(super) racks: RackDemands,
     /// When the next heartbeats are due.
     pub(super) next_heartbeat: Time,
     /// Whether capacity may have become free, or tasks may have become ready, since the last
@@ -133,7 +130,6 @@
             next_request: now,
             past_jobs: FxHashMap::default(),
             resubmissions: ResubmissionDetector::default(),
-            racks: RackDemands::default(),
             next_heartbeat: now + HEARTBEAT_INTERVAL,
             capacity_changed: false,
             last_seq: 0,
@@ -150,7 +146,6 @@
             job.callers.push(caller);
             return;
         }
-        self.record_demand(now, &submission);
         let critical_path = submission.critical_path();
         let slack = Micros((critical_path.0 as f64 * submission.route.slack_factor) as u64);
         let objective_duration = slack + submission.route.target_duration;
--- a/crates/chervilring_daemon/src/runs/planner/serving.rs
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -96,7 +96,6 @@
         let (domains, upstreams) = (planner.evacuated_domains(), planner.evacuated_upstreams());
         report.evacuated.record(domains as u64, &[]);
         report.left_out.record(upstreams as u64, &[]);
-        report.hot_racks.record(planner.hot_racks() as u64, &[]);
         ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry_soon(cx);
     }
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -87,21 +87,6 @@
         PlannerEvent::UpstreamEjected { runner, speed } => {
             warn!(log, "upstream left out"; "runner" => &**runner, "speed" => speed);
         }
-        PlannerEvent::RackChanged {
-            service,
-            rack,
-            hot,
-            wanted,
-            capacity,
-        } => {
-            let line = if *hot {
-                "rack hot"
-            } else {
-                "rack no longer hot"
-            };
-            info!(log, "{}", line; "service" => %service, "rack" => &**rack, "wanted_cpu" => wanted,
-                "capacity_cpu" => capacity);
-        }
         PlannerEvent::EvacuationsChanged {
             evacuations,
             source,
--- a/crates/chervilring_daemon/src/runs/planner_report.rs
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -15,7 +15,6 @@
     pub(super) failed_reads: Gauge<u64>,
     pub(super) evacuated: Gauge<u64>,
     pub(super) left_out: Gauge<u64>,
-    pub(super) hot_racks: Gauge<u64>,
     /// Jobs taken from callers.
     pub(super) submitted: Counter<u64>,
     completed: Counter<u64>,
@@ -43,10 +42,6 @@
                 "upstreams_evacuated",
                 "Linked upstreams in failure domains that are evacuated",
             ),
-            hot_racks: metrics.gauge(
-                "racks_hot",
-                "Racks that are left to work whose data is there",
-            ),
             version: metrics.gauge("config_version", "Configuration in force"),
             failed_reads: metrics.gauge(
                 "config_reads_failed",
