Explain: a planner tells where a job would go now, and why

Cause: an operator cannot ask a planner what it would do with a job without sending one. Change: Planner::explain submits the job to a copy of the planner and tells the place in the order of work, each upstream of the service with what is expected there and why it is chosen or passed over, or the answer at once. The checks of a candidate are a function of their own for this.

--- a/crates/chervilring_core/src/runs/planner/choice.rs
+++ b/crates/chervilring_core/src/runs/planner/choice.rs
@@ -50,6 +50,19 @@
     Wait,
 }
 
+/// Why a task is not placed on a candidate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// It has as many runs as it may be sent.
+    NotAllowed,
+    /// Its queue is full of runs that go ahead.
+    QueueFull,
+    /// The task would end after the objective of its job.
+    Late,
+    /// The task would wait for longer than its job may wait.
+    LongWait,
+}
+
 /// Chooses among candidates; `tie` returns a random number that decides between similar ones.
 ///
 /// Among candidates that meet the objective, those without a wait are preferred, then slow ones
@@ -66,11 +79,7 @@
     let mut reachable = false;
     for (index, candidate) in candidates.iter().enumerate().filter(|(_, o)| o.allowed) {
         reachable = reachable || latest_end(candidate, Micros(0), times) <= times.objective;
-        let is_late = latest_end(candidate, candidate.queue_wait, times) > times.objective;
-        if candidate.queue_full
-            || is_late
-            || times.now + candidate.queue_wait > times.start_deadline
-        {
+        if obstacle(candidate, times).is_some() {
             continue;
         }
         let score = rate(candidate, times) + tie() * RANDOM_WEIGHT;
@@ -87,6 +96,24 @@
     choose_late(candidates, times).map_or(Choice::Wait, Choice::Place)
 }
 
+/// Returns why a task cannot be placed on a candidate so that its job is in time, if there is a
+/// reason.
+pub fn obstacle(candidate: &Candidate, times: &TaskTimes) -> Option<Obstacle> {
+    if !candidate.allowed {
+        return Some(Obstacle::NotAllowed);
+    }
+    if candidate.queue_full {
+        return Some(Obstacle::QueueFull);
+    }
+    if latest_end(candidate, candidate.queue_wait, times) > times.objective {
+        return Some(Obstacle::Late);
+    }
+    if times.now + candidate.queue_wait > times.start_deadline {
+        return Some(Obstacle::LongWait);
+    }
+    None
+}
+
 /// Chooses for a task of a job that can only be late.
 fn choose_late(candidates: &[Candidate], times: &TaskTimes) -> Option<usize> {
     let end = |candidate: &Candidate| times.now + candidate.queue_wait + candidate.run_time;
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod evacuation;
 mod event;
+mod explain;
 mod health;
 mod job;
 mod job_ends;
@@ -24,8 +25,11 @@
 mod upstream;
 
 pub use admission::{JobTimes, start_deadline};
-pub use choice::{Candidate, Choice, TaskTimes, choose_upstream};
+pub use choice::{Candidate, Choice, Obstacle, TaskTimes, choose_upstream, obstacle};
 pub use event::{LossCause, PlannerEvent};
+pub use explain::{
+    ChoiceReason, ExpectedRun, Explanation, JobOrder, Outcome, StepExplanation, UpstreamExplanation,
+};
 pub use health::Health;
 pub use job::{Caller, NewJob, Step};
 pub use links::LinkNo;
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -118,7 +118,7 @@
 }
 
 /// Returns the times that the tasks of a job must meet.
-fn task_times(now: Time, job: &Job) -> TaskTimes {
+pub(super) fn task_times(now: Time, job: &Job) -> TaskTimes {
     let job_started = job.started_at.is_some();
     TaskTimes {
         now,
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -78,7 +78,7 @@
 }
 
 /// The decisions of a planner: admits jobs, places their tasks on upstreams and answers callers.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Planner {
     pub(super) settings: PlannerSettings,
     /// The jobs by sequence number, in the order of arrival.
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -49,7 +49,7 @@
 }
 
 /// An upstream behind a link.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct Upstream {
     /// The name of its runner.
     pub(super) name: Name,
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -4,6 +4,7 @@
 mod dial;
 mod down;
 mod evacuation;
+mod explain;
 mod focused;
 mod link_events;
 mod order;
