--- a/crates/chervilring/src/args.rs
+++ b/crates/chervilring/src/args.rs
@@ -5,7 +5,8 @@
 use argh::FromArgs;
 
 use crate::commands::{
-    agent, audit, clear_doubts, declare_dead, entry, job, note, planner, request, runner, status,
+    agent, audit, clear_doubts, declare_dead, entry, explain, job, note, planner, request, runner,
+    status,
 };
 
 /// Dispatcher for sub-second tasks: daemons, and commands for operators and callers.
@@ -48,6 +49,8 @@
     Audit(audit::AuditCommand),
     /// Shows the status of entries.
     Status(status::StatusCommand),
+    /// Asks a planner where a job would go.
+    Explain(explain::ExplainCommand),
     /// Clears doubts about ids of lost entries.
     ClearDoubts(clear_doubts::ClearDoubtsCommand),
     /// Declares a lost entry dead.
--- a/crates/chervilring/src/commands/mod.rs
+++ b/crates/chervilring/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod clear_doubts;
 pub mod declare_dead;
 pub mod entry;
+pub mod explain;
 mod in_force;
 mod input;
 pub mod job;
@@ -36,6 +37,7 @@
         Command::Note(command) => note::run(&command),
         Command::Audit(command) => audit::run(&command),
         Command::Status(command) => status::run(&command),
+        Command::Explain(command) => explain::run(&command),
         Command::ClearDoubts(command) => clear_doubts::run(&command),
         Command::DeclareDead(command) => declare_dead::run(&command),
     }
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -1,5 +1,6 @@
 //! The planner daemon: carries the decisions of a planner to sockets.
 
+mod explaining;
 mod links;
 mod serving;
 mod source;
@@ -35,7 +36,7 @@
 /// The largest body before the configuration says otherwise, in bytes.
 const FIRST_BODY: usize = 256 << 10;
 
-/// The largest body of a request for readiness or metrics, in bytes.
+/// The largest body of a request for readiness, in bytes.
 const SMALL_BODY: usize = 1 << 10;
 
 /// How long callers may still come in after a stop was asked for: the balancer looks once a
@@ -113,7 +114,7 @@
     let metrics = ports::listen(
         &poll,
         config.metrics,
-        SMALL_BODY,
+        FIRST_BODY,
         fwd_to!([actor], metrics() as (HttpReady)),
     )?;
     let listener = Listener::bind(&poll, config.runners, fwd_to!([actor], accept() as (Ready)))
@@ -230,6 +231,7 @@
                 let now = self.parts.clock.time();
                 self.source.set_version(now, routes.version, from);
                 self.parts.callers.set_body(routes.max_body);
+                self.parts.metrics.set_body(routes.max_body);
                 self.routes = Some(routes);
                 self.parts.planner.set_config(copy);
             }
--- a/crates/chervilring_daemon/src/runs/planner/serving.rs
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -5,7 +5,6 @@
 use stakker::CX;
 
 use super::super::dialect::CallerCall;
-use super::super::ports;
 use super::PlannerActor;
 use crate::net::{ConnNo, HttpAnswer, HttpEvent, HttpReady};
 
@@ -77,7 +76,7 @@
         self.carry_soon(cx);
     }
 
-    /// Serves the metrics.
+    /// Serves metrics and explanations.
     pub(super) fn metrics(&mut self, cx: CX![], ready: HttpReady) {
         let now = self.parts.clock.time();
         let report = &self.parts.report;
@@ -96,7 +95,7 @@
         let (domains, upstreams) = (planner.evacuated_domains(), planner.evacuated_upstreams());
         report.evacuated.record(domains as u64, &[]);
         report.left_out.record(upstreams as u64, &[]);
-        ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
+        self.serve_operators(now, ready);
         self.carry_soon(cx);
     }
 }
--- a/crates/chervilring_daemon/src/runs/ports.rs
+++ b/crates/chervilring_daemon/src/runs/ports.rs
@@ -31,12 +31,16 @@
         let HttpEvent::Request(conn, _) = event else {
             continue;
         };
-        let answer = HttpAnswer {
-            status: 200,
-            media: "text/plain; version=0.0.4",
-            comeback: None,
-            body: metrics.text().into_bytes(),
-        };
-        port.answer(now, conn, &answer);
+        port.answer(now, conn, &metrics_answer(metrics));
+    }
+}
+
+/// Returns the answer to a request for metrics.
+pub(super) fn metrics_answer(metrics: &Metrics) -> HttpAnswer {
+    HttpAnswer {
+        status: 200,
+        media: "text/plain; version=0.0.4",
+        comeback: None,
+        body: metrics.text().into_bytes(),
     }
 }
