--- a/crates/chervilring_core/src/runs/planner/ratios.rs
+++ b/crates/chervilring_core/src/runs/planner/ratios.rs
@@ -22,7 +22,7 @@
 const MESSAGE_QUANTILES: usize = 20;
 
 /// The ratios of a route's latest runs: those of the present generation and of the one before.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Ratios {
     current: Histogram<u32>,
     /// Both generations, as of the last update.
--- a/crates/chervilring_core/src/runs/planner/run_times.rs
+++ b/crates/chervilring_core/src/runs/planner/run_times.rs
@@ -32,7 +32,7 @@
 const CLEAR_RATIO: f64 = 1.15;
 
 /// What a planner has learnt of run times.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct RunTimes {
     routes: FxHashMap<Name, Ratios>,
     /// The routes in force, once they are known.
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -6,6 +6,7 @@
 mod doubts;
 mod down;
 mod evacuation;
+mod explain;
 mod focused;
 mod link_events;
 mod order;
