--- a/crates/chervilring_core/src/runs/runner/call_times.rs
+++ b/crates/chervilring_core/src/runs/runner/call_times.rs
@@ -25,7 +25,7 @@
 
 /// The shortest timeout. Other programs on the host may delay an answer by some milliseconds, and a
 /// call that timed out costs its connection.
-const MIN_TIMEOUT: Micros = Micros::from_millis(15);
+const MIN_TIMEOUT: Micros = Micros::from_millis(8);
 
 /// The longest timeout.
 const MAX_TIMEOUT: Micros = Micros::from_millis(30);
