--- a/crates/chervilring_core/src/runs/planner/candidates.rs
+++ b/crates/chervilring_core/src/runs/planner/candidates.rs
@@ -22,8 +22,6 @@
     pub(super) run_time: Micros,
     /// How many more runs it may be sent.
     pub(super) max_runs: u32,
-    /// Whether other upstreams go first because of starts that it left unanswered.
-    doubtful: bool,
 }
 
 impl UpstreamSlot<'_> {
@@ -44,7 +42,6 @@
             queue_wait: expected_wait(self.state, &requested),
             allowed: self.max_runs > 0 && avoid != Some(self.name),
             queue_full,
-            doubtful: self.doubtful,
             free_share: (self.state.free.cpu as f64 - self.requested.cpu as f64) / total_cpu,
         }
     }
@@ -86,7 +83,6 @@
             declared_runtime,
             run_time,
             max_runs: self.max_runs(now, job, step, link, upstream)?,
-            doubtful: upstream.is_doubtful(row),
         })
     }
 
--- a/crates/chervilring_core/src/runs/planner/choice.rs
+++ b/crates/chervilring_core/src/runs/planner/choice.rs
@@ -5,8 +5,6 @@
 
 use chervilring_wire::{Micros, Time};
 
-use super::doubts::doubt_malus;
-
 /// A margin on top of the expected run time for delays in transit and wrong declarations.
 const MARGIN: Micros = Micros::from_millis(12);
 
@@ -24,8 +22,6 @@
     pub allowed: bool,
     /// Whether its queue is full of runs that go ahead of the task.
     pub queue_full: bool,
-    /// Whether others go first because of starts that it left unanswered.
-    pub doubtful: bool,
     /// The share of its processor that is free. Negative if more is requested than free.
     pub free_share: f64,
 }
@@ -71,7 +67,7 @@
 ///
 /// Among candidates that meet the objective, those without a wait are preferred, then slow ones
 /// over fast ones, then those with more free processor time, so that planners that choose at the
-/// same time seldom choose the same one. Those in doubt go behind others. A started job that is late goes to the candidate where it
+/// same time seldom choose the same one. A started job that is late goes to the candidate where it
 /// ends first, but only if no candidate can meet the objective. A job that has not started and can
 /// only be late goes to one with spare capacity.
 pub fn choose_upstream(
@@ -155,5 +151,5 @@
     let remaining = times.now.duration_until(times.objective).0.max(1) as f64;
     let slow = SLOW_WEIGHT * (candidate.run_time.0 as f64 / remaining);
     let wait = WAIT_WEIGHT * (candidate.queue_wait.0 as f64 / remaining);
-    candidate.free_share + slow - wait - doubt_malus(candidate.doubtful)
+    candidate.free_share + slow - wait
 }
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -91,14 +91,8 @@
                 }
             }
             RunnerMessage::Progress(rows) => self.check_progress(now, &rows),
-            RunnerMessage::Doubts(count) => {
-                if let Some(upstream) = self.links.get_mut(&link) {
-                    upstream.doubts = count;
-                }
-            }
             RunnerMessage::RunTimes(rows) => self.recall_run_times(&rows),
             RunnerMessage::Claimed(runs) => self.confirm_claims(now, link, &runs),
-            RunnerMessage::Load(_) => {}
         }
     }
 
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -5,7 +5,6 @@
 mod choice;
 mod claims;
 mod crashes;
-mod doubts;
 mod evacuation;
 mod event;
 mod explain;
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -81,8 +81,6 @@
     pub(super) evacuations: Evacuations,
     /// Whether its failure domain is evacuated.
     pub(super) evacuated: bool,
-    /// The number of runs whose starts it left unanswered, as its runner last told.
-    pub(super) doubts: u32,
 }
 
 impl Upstream {
@@ -103,7 +101,6 @@
             replica_sent: 0,
             evacuations: Evacuations::default(),
             evacuated: false,
-            doubts: 0,
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/call.rs
+++ b/crates/chervilring_core/src/runs/runner/call.rs
@@ -34,8 +34,6 @@
         lease_end: u64,
         /// The fencing token.
         fencing_token: u64,
-        /// How long to wait for the answer from when the call is sent.
-        timeout: Micros,
     },
     /// Stops a run. If its start has not arrived yet, the upstream refuses that start.
     Stop {
--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -42,11 +42,6 @@
         /// The time since it was accepted.
         waited: Micros,
     },
-    /// A start without answer is sent again.
-    StartRepeated {
-        /// The run.
-        run: RunKey,
-    },
     /// Room is held for claimed runs until they are confirmed.
     Claimed {
         /// The first of the runs.
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -32,8 +32,6 @@
     pub(super) evacuations: Evacuations,
     /// Whether the planner knows the messages on room that is short.
     pub(super) knows_room: bool,
-    /// The number of doubts that the planner was last told.
-    pub(super) sent_doubts: u32,
 }
 
 impl Link {
@@ -49,7 +47,6 @@
             close_after: None,
             evacuations: Evacuations::default(),
             knows_room: false,
-            sent_doubts: 0,
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -140,7 +140,6 @@
             .retain(|_, r| !(unconfirmed(r) && (r.stop_requested && r.link.is_none())));
         for row in self.runs.values_mut().filter(|r| unconfirmed(r)) {
             row.state = RunState::Queued;
-            row.unanswered = 0;
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -1,10 +1,8 @@
 //! The decisions of a runner: the final check of an upstream's capacity, its lease, and its runs.
 
 mod call;
-mod call_times;
 mod claims;
 mod dialer;
-mod doubts;
 mod evacuation;
 mod event;
 mod incarnations;
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -51,7 +51,6 @@
                 state: RunState::Queued,
                 stop_requested: false,
                 maybe_started: false,
-                unanswered: 0,
                 accepted: now,
                 start_deadline,
                 order,
@@ -213,7 +212,8 @@
             CallOutcome::Refused { reason, .. } => self.handle_start_refusal(now, run, *reason),
             // The refused connection may be a retry, after a start that was carried out.
             CallOutcome::NoAnswer | CallOutcome::NotListening => {
-                self.schedule_repeat(sent, run);
+                row.maybe_started = true;
+                self.schedule_retry(sent, run, "start");
             }
         }
     }
@@ -224,7 +224,6 @@
             return;
         };
         row.state = RunState::Running(now);
-        row.unanswered = 0;
         let stop_requested = row.stop_requested;
         if let Some(link) = row.link {
             let message = RunnerMessage::Started(run);
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -9,7 +9,6 @@
 
 use super::call::{CallOutcome, UpstreamCall};
 use super::claims::Claim;
-use super::doubts::ToldDoubts;
 use super::event::RunnerEvent;
 use super::links::Link;
 use super::pace::RunPace;
@@ -86,8 +85,6 @@
     pub(super) stop_requested: bool,
     /// Whether a start got no answer: the upstream may have started the run, or may still do so.
     pub(super) maybe_started: bool,
-    /// The number of starts sent without an answer so far; zero once it is known to run.
-    pub(super) unanswered: u32,
     /// When the run was accepted.
     pub(super) accepted: Time,
     /// When the run is refused if it has not started.
@@ -132,8 +129,6 @@
     pub(super) stored_speed: (u32, Time),
     /// When the leases granted by an earlier incarnation of this runner have certainly expired.
     pub(super) prior_expiry: Time,
-    /// What planners are told about starts without answer.
-    pub(super) doubts: ToldDoubts,
 }
 
 impl Runner {
@@ -166,7 +161,6 @@
             speed: Speed::default(),
             stored_speed: (Speed::default().permille(), now),
             prior_expiry: now + MAX_ORPHAN_TIME,
-            doubts: ToldDoubts::default(),
         }
     }
 
@@ -279,9 +273,6 @@
             return;
         }
         self.record_answer(now, &outcome);
-        if let Some(upstream) = &mut self.upstream {
-            upstream.record_call_time(sent.duration_until(now), call, &outcome);
-        }
         match call {
             UpstreamCall::Start { run, .. } => self.handle_start_outcome(now, sent, *run, &outcome),
             UpstreamCall::Stop { run, .. } => self.handle_stop_outcome(now, sent, *run, &outcome),
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -75,7 +75,7 @@
             | CallOutcome::Refused {
                 reason: CallRefusal::Unhealthy,
                 ..
-            } => self.schedule_stop(sent, run),
+            } => self.schedule_retry(sent, run, "stop"),
             CallOutcome::Refused {
                 reason: CallRefusal::Fence,
                 ..
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -38,7 +38,6 @@
         self.store_speed_if_changed(now);
         self.log_accepting();
         self.send_states(now);
-        self.tell_doubts(now);
         self.check_shutdown(now);
     }
 
@@ -112,7 +111,6 @@
             demand: row.demand,
             lease_end,
             fencing_token: self.fencing_token,
-            timeout: upstream.call_times.timeout(row.unanswered),
         };
         self.steps.push(RunnerStep::Call(call));
     }
--- a/crates/chervilring_core/src/runs/runner/upstream.rs
+++ b/crates/chervilring_core/src/runs/runner/upstream.rs
@@ -4,7 +4,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::UpstreamIncarnation;
-use super::call_times::CallTimes;
 use super::lease::Lease;
 
 /// Whether an upstream accepts work.
@@ -85,12 +84,6 @@
     pub(super) silence: Silence,
     /// Whether the report is from this incarnation.
     pub(super) report_current: bool,
-    /// The times of the calls that it answered.
-    pub(super) call_times: CallTimes,
-    /// When the last poll without answer was given up.
-    pub(super) missed_at: Time,
-    /// When a single start may be repeated before the next poll is answered.
-    pub(super) next_probe: Time,
 }
 
 impl Upstream {
@@ -107,9 +100,6 @@
             missed_polls: 0,
             silence: Silence::Unexplained,
             report_current: true,
-            call_times: CallTimes::default(),
-            missed_at: Time::default(),
-            next_probe: Time::default(),
         }
     }
 
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -3,7 +3,6 @@
 mod claims;
 mod crashes;
 mod dial;
-mod doubts;
 mod down;
 mod evacuation;
 mod explain;
--- a/crates/chervilring_core/tests/runs/placing.rs
+++ b/crates/chervilring_core/tests/runs/placing.rs
@@ -5,19 +5,18 @@
 
 const MS: fn(u64) -> Micros = Micros::from_millis;
 
-pub(crate) fn candidate(run: u64, wait: u64, free: f64) -> Candidate {
+fn candidate(run: u64, wait: u64, free: f64) -> Candidate {
     Candidate {
         run_time: MS(run),
         queue_wait: MS(wait),
         allowed: true,
         queue_full: false,
-        doubtful: false,
         free_share: free,
     }
 }
 
 /// Returns the times of a task whose objective is `objective` milliseconds away.
-pub(crate) fn times(objective: u64) -> TaskTimes {
+fn times(objective: u64) -> TaskTimes {
     TaskTimes {
         now: Time(0),
         objective: Time(objective * 1_000),
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -29,7 +29,7 @@
 /// The one-way delay between a runner and its upstream.
 const NEAR: u64 = 100;
 
-/// The timeout of stops and polls.
+/// The timeout of calls to upstreams.
 const CALL_TIME: u64 = 60_000;
 
 /// How long an upstream delays its lists. A real upstream answers as soon as a run ends.
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -74,10 +74,6 @@
         let now = Time(self.now.0 - self.runners[r].suspended);
         let incarnation = self.runners[r].incarnation;
         let lost = CallOutcome::NoAnswer;
-        let limit = match &call {
-            UpstreamCall::Start { timeout, .. } => timeout.0,
-            UpstreamCall::Stop { .. } | UpstreamCall::Poll { .. } => CALL_TIME,
-        };
         if !self.upstreams[r].up {
             let refused = CallOutcome::NotListening;
             self.at(CALL_TIME, Event::Called(r, incarnation, now, call, refused));
@@ -87,12 +83,12 @@
         if order && self.rng.f64() < self.late_share {
             let span = self.rng.u64(1_000_000..6_000_000);
             self.at(span, Event::CallLate(r, call.clone()));
-            self.at(limit, Event::Called(r, incarnation, now, call, lost));
+            self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
             return;
         }
         if self.is_mute(r) {
             self.handle_call(r, &call);
-            self.at(limit, Event::Called(r, incarnation, now, call, lost));
+            self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
             return;
         }
         if let UpstreamCall::Poll { lease_end, .. } = &call {
@@ -105,17 +101,13 @@
         }
         let outcome = self.handle_call(r, &call);
         if matches!(call, UpstreamCall::Start { .. }) && self.now < self.mute_until {
-            self.at(limit, Event::Called(r, incarnation, now, call, lost));
+            self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
             return;
         }
         let late = match self.jitter {
             0 => 0,
             most => self.rng.u64(0..=most),
         };
-        if 2 * NEAR + late > limit {
-            self.at(limit, Event::Called(r, incarnation, now, call, lost));
-            return;
-        }
         self.at(
             2 * NEAR + late,
             Event::Called(r, incarnation, now, call, outcome),
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -292,8 +292,6 @@
         report.planners.record(planners, &[]);
         let domains = self.parts.runner.evacuated_domains() as u64;
         report.evacuated.record(domains, &[]);
-        let doubts = self.parts.runner.doubt_count() as u64;
-        report.doubts.record(doubts, &[]);
         ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry_soon(cx);
     }
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -8,7 +8,7 @@
 
 use super::told;
 
-/// The wait for room from which the begin of a run is logged.
+/// The shortest wait of a run for room that is logged.
 const LOGGED_WAIT: Micros = Micros::from_millis(5);
 
 /// Logs a decision; `planner` returns the address behind a link, while that is known.
@@ -28,7 +28,6 @@
         }
         // Counted. The lines on placements, refusals and missing answers tell the rest.
         RunnerEvent::Begun { .. }
-        | RunnerEvent::StartRepeated { .. }
         | RunnerEvent::ClaimConfirmed { .. }
         | RunnerEvent::ClaimEnded { .. } => {}
         RunnerEvent::Claimed { run, runs } => {
--- a/crates/chervilring_daemon/src/runs/runner_report.rs
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -12,7 +12,6 @@
     pub(super) runs: Gauge<u64>,
     pub(super) planners: Gauge<u64>,
     pub(super) evacuated: Gauge<u64>,
-    pub(super) doubts: Gauge<u64>,
     taken: Counter<u64>,
     refused: Counter<u64>,
     handed_back: Counter<u64>,
@@ -25,7 +24,6 @@
     stopped: Counter<u64>,
     lapsed: Counter<u64>,
     unanswered: Counter<u64>,
-    repeated: Counter<u64>,
     lost: Counter<u64>,
     spans: Histogram<f64>,
     waits: Histogram<f64>,
@@ -38,7 +36,6 @@
             runs: metrics.gauge("runs", "Runs in hand"),
             planners: metrics.gauge("planners", "Planners whose link is up"),
             evacuated: metrics.gauge("domains_evacuated", "Failure domains that are evacuated"),
-            doubts: metrics.gauge("doubts", "Runs whose start has no answer"),
             taken: metrics.counter("runs_taken", "Runs taken on"),
             refused: metrics.counter("runs_refused", "Runs refused or not started"),
             handed_back: metrics.counter(
@@ -57,7 +54,6 @@
             stopped: metrics.counter("runs_stopped", "Runs that were stopped"),
             lapsed: metrics.counter("runs_lapsed", "Runs whose lease lapsed"),
             unanswered: metrics.counter("calls_unanswered", "Calls of the upstream without answer"),
-            repeated: metrics.counter("starts_repeated", "Starts sent again after no answer"),
             lost: metrics.counter("links_lost", "Links to planners that were lost"),
             spans: metrics.durations("run_duration", "Time from taking on a run to its end"),
             waits: metrics.durations("run_wait", "Time from taking on a run until it has room"),
@@ -75,7 +71,6 @@
                 self.handed_back.add(u64::from(is_evacuated), &[]);
             }
             RunnerEvent::Begun { waited, .. } => self.waits.record(waited.0 as f64 / 1e6, &[]),
-            RunnerEvent::StartRepeated { .. } => self.repeated.add(1, &[]),
             RunnerEvent::Claimed { runs, .. } => self.claimed.add(u64::from(*runs), &[]),
             RunnerEvent::ClaimConfirmed { .. } => self.confirmed.add(1, &[]),
             RunnerEvent::ClaimEnded { end, .. } => {
--- a/crates/chervilring_wire/src/lib.rs
+++ b/crates/chervilring_wire/src/lib.rs
@@ -26,7 +26,7 @@
     EntryMessage, Handover, Heartbeat, Hello, Load, PeerMessage, StartBatch, TaskAnswer, TaskStart,
 };
 pub use ring::{InDoubt, Member, PastRing, Ring, home_name};
-pub use room::{ClaimRuns, ClassLoad, OrderedStart, RouteRunTimes, UpstreamLoad, Urgency};
+pub use room::{ClaimRuns, OrderedStart, RouteRunTimes, Urgency};
 pub use run::{
     ConfigReplica, Evacuations, JobId, PlannerMessage, QueuedRuns, RefuseReason, Resources, RunEnd,
     RunKey, RunProgress, RunnerLevel, RunnerMessage, StartRuns, UpstreamState,
--- a/crates/chervilring_wire/src/room.rs
+++ b/crates/chervilring_wire/src/room.rs
@@ -1,10 +1,10 @@
-//! What planners and runners tell each other about room that is short: the order of work, claims,
-//! loads and run times. Only processes that say that they know these messages are sent them.
+//! What planners and runners tell each other about room that is short: the order of work, claims
+//! and run times. Only processes that say that they know these messages are sent them.
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Name, ServiceName};
-use crate::run::{Resources, StartRuns};
+use crate::id::Name;
+use crate::run::StartRuns;
 use crate::time::Micros;
 
 /// What decides which of several runs goes first where there is not room for all.
@@ -41,28 +41,6 @@
     pub hold: Micros,
 }
 
-/// The load of an upstream by priority, as its runner sees it over all planners.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UpstreamLoad {
-    /// The service.
-    pub service: ServiceName,
-    /// The rows, the most urgent priority first.
-    pub classes: Vec<ClassLoad>,
-}
-
-/// The load of one priority at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub struct ClassLoad {
-    /// The priority.
-    pub priority: u32,
-    /// The demand of its queued runs.
-    pub queued: Resources,
-    /// The room that is kept free for it from less urgent work.
-    pub reserved: Resources,
-    /// The moving average of the time that its runs waited for room.
-    pub wait: Micros,
-}
-
 /// How the run times of a route's tasks compare with those that callers declare.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRunTimes {
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{DomainName, Name, ServiceName};
-use crate::room::{ClaimRuns, OrderedStart, RouteRunTimes, UpstreamLoad};
+use crate::room::{ClaimRuns, OrderedStart, RouteRunTimes};
 use crate::time::Micros;
 
 /// The id of a job, chosen by the caller.
@@ -282,13 +282,8 @@
     /// Runs whose room is claimed until they are confirmed or given back, or the claim ends. Sent only
     /// to planners that have said [`PlannerMessage::KnowsRoom`], as are the messages below.
     Claimed(Vec<RunKey>),
-    /// The load of the upstream by priority.
-    Load(UpstreamLoad),
     /// The run times of routes, as the runner has stored them.
     RunTimes(Vec<RouteRunTimes>),
-    /// The highest number of runs, over the last while, whose start and its repeat the upstream left
-    /// unanswered.
-    Doubts(u32),
 }
 
 /// The level of the messages of a runner. Each level changes what a message means that processes of
