Explain, claims and Retry-After: faults found by reading the change

- `explain` counted spare claims as places, so that a job that claims made 8 - 16 tasks wait (a panic in debug builds).
- `explain` showed the order by declared run times, the planner goes by learnt ones: one function for both.
- Retry-After counted the refused job itself as ahead of it, and delays above the longest were not spread.
- Second claims stood in no line of the planner; a claim that is given back counted as a refusal in log and metric.
- `Unconfirmed` had three meanings; a field that nothing read is gone; matches and chains that stood twice are one.

--- a/crates/chervilring_core/src/runs/order.rs
+++ b/crates/chervilring_core/src/runs/order.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Returns the time until the work is due; none is set for work that is late.
+    /// Returns the time until the work is due, or the longest there is for work that is late.
     pub fn remaining(&self, now: Time) -> Micros {
         if self.late {
             return Micros(u64::MAX);
--- a/crates/chervilring_core/src/runs/planner/claims.rs
+++ b/crates/chervilring_core/src/runs/planner/claims.rs
@@ -10,14 +10,15 @@
 use chervilring_wire::{Micros, Name, PlannerMessage, Resources, RunKey, Time, UpstreamState};
 
 use super::choice::{Candidate, Choice, choose_upstream};
-use super::event::LossCause;
+use super::event::{LossCause, PlannerEvent};
 use super::job::{Job, Task, TaskState};
 use super::links::LinkNo;
 use super::placing::{take_slot, task_times};
 use super::sending::Placement;
 use super::state::{Planner, PlannerStep};
 
-/// The number of tasks from which a job claims room: with fewer it seldom waits for the slowest.
+/// The least number of tasks of a step, placed at once, for which room is claimed. A job with fewer
+/// seldom waits for the slowest.
 const MIN_TASKS: usize = 4;
 
 /// The longest time for which a runner holds room until the confirmation arrives.
@@ -37,7 +38,7 @@
 
 impl Task {
     /// Returns whether its run cannot have started, as its claim was not confirmed.
-    pub(super) fn is_unconfirmed(&self) -> bool {
+    pub(super) fn is_claim_pending(&self) -> bool {
         self.claimed && matches!(self.state, TaskState::Sent { .. })
     }
 
@@ -88,15 +89,15 @@
     }
 
     fn has_claims(&self) -> bool {
-        self.tasks.iter().any(Task::is_unconfirmed)
+        self.tasks.iter().any(Task::is_claim_pending)
     }
 
-    /// Returns the tasks of a step with a claim that is not confirmed, and no spare one. Tasks that
-    /// were refused for room get none, so that two claims are not refused at once again.
+    /// Returns the tasks of a step with one claim that awaits its confirmation. Tasks that were refused
+    /// for room are left out, so that none is refused twice at once.
     fn lone_claims(&self, step: usize) -> Vec<usize> {
         let is_lone = |t: &Task| {
             let is_single = t.spare.is_none() && t.room_refusals == 0;
-            t.step == step && is_single && t.is_unconfirmed()
+            t.step == step && is_single && t.is_claim_pending()
         };
         let tasks = self.tasks.iter().enumerate();
         tasks.filter(|(_, t)| is_lone(t)).map(|(i, _)| i).collect()
@@ -132,12 +133,21 @@
 
     /// Claims spare room for the tasks of a step whose room was claimed.
     pub(super) fn claim_spares(&mut self, now: Time, seq: u64, step: usize) {
-        for placement in self.choose_spares(now, seq, step) {
+        let placements = self.choose_spares(now, seq, step);
+        let mut runners = Vec::with_capacity(placements.len());
+        for placement in placements {
             let Some(job) = self.jobs.get_mut(&seq) else {
                 return;
             };
             let runs = mark_spares(job, &placement);
+            let count = runs.len() as u32;
             self.send_runs(now, (seq, step), &placement, runs, true);
+            runners.push((placement.name, count));
+        }
+        if let Some(job) = self.jobs.get(&seq).filter(|_| !runners.is_empty()) {
+            let job = job.submission.id;
+            let event = PlannerEvent::SparesClaimed { job, runners };
+            self.steps.push(PlannerStep::Log(event));
         }
     }
 
@@ -192,7 +202,7 @@
         let Some(job) = self.jobs.get_mut(&seq) else {
             return false;
         };
-        if job.cancelling || !job.tasks[index].is_unconfirmed() {
+        if job.cancelling || !job.tasks[index].is_claim_pending() {
             return false;
         }
         let is_spare = run.attempt != job.tasks[index].attempt;
@@ -209,9 +219,9 @@
         }
         task.spare = None;
         task.claimed = false;
-        if let Some((run, link)) = other {
-            self.runs.remove(&run);
-            let message = PlannerMessage::CancelQueued(vec![run]);
+        if let Some((other_run, link)) = other {
+            self.runs.remove(&other_run);
+            let message = PlannerMessage::CancelQueued(vec![other_run]);
             self.steps.push(PlannerStep::Send { link, message });
         }
         true
@@ -272,8 +282,8 @@
     runs
 }
 
-/// Returns whether room is short on an upstream where `requested`, which includes the runs to be
-/// placed, takes what is free: other planners may have taken it.
+/// Returns whether `requested`, which includes the runs to be placed, leaves less free than the share
+/// whose use is not reported at once: other planners may have taken it.
 pub(super) fn is_room_short(state: &UpstreamState, requested: &Resources) -> bool {
     let is_short = |free: u64, requested: u64, capacity: u64| {
         let unreported = (capacity as f64 * UNREPORTED_SHARE) as u64;
--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -25,6 +25,13 @@
         /// Whether their room is claimed, and they start only once they are confirmed.
         claimed: bool,
     },
+    /// Tasks of a job claim room at a second upstream.
+    SparesClaimed {
+        /// The job.
+        job: JobId,
+        /// The runners, each with the number of tasks.
+        runners: Vec<(Name, u32)>,
+    },
     /// A job was queued because its tasks found no capacity.
     Queued {
         /// The job.
--- a/crates/chervilring_core/src/runs/planner/explain.rs
+++ b/crates/chervilring_core/src/runs/planner/explain.rs
@@ -7,12 +7,11 @@
 
 use super::candidates::could_run;
 use super::choice::{Candidate, Obstacle, TaskTimes, obstacle};
-use super::job::{Caller, Job, NewJob, Step};
+use super::job::{Caller, Job, NewJob, Step, Task, TaskState};
 use super::links::LinkNo;
 use super::placing::task_times;
 use super::state::{JobAnswer, Planner, PlannerStep};
 use super::upstream::Upstream;
-use crate::runs::order::WorkOrder;
 
 /// A caller that does not exist; numbers of connections do not come that far.
 const NOBODY: Caller = Caller(u64::MAX);
@@ -144,7 +143,7 @@
             (true, ..) => Outcome::InHand,
             (_, Some(outcome), _) => outcome,
             (_, None, Some(job)) if job.may_have_started() => Outcome::Placed {
-                waiting: waiting_tasks(&steps),
+                waiting: waiting_tasks(job),
             },
             _ => Outcome::Queued {
                 retry_after: self.settings.retry_after,
@@ -182,14 +181,13 @@
     }
 
     fn job_order(&self, now: Time, job: &Job) -> JobOrder {
-        let urgency = |j: &Job| j.urgency(now, j.submission.critical_path());
-        let own = WorkOrder::new(now, &urgency(job));
+        let own = job.work_order(now);
         let goes_first = |other: &&Job| {
             let is_other = other.submission.id != job.submission.id && other.has_waiting_task();
-            is_other && WorkOrder::new(now, &urgency(other)) <= own
+            is_other && other.work_order(now) <= own
         };
         JobOrder {
-            urgency: urgency(job),
+            urgency: job.urgency(now, job.critical_path),
             ahead: self.jobs.values().filter(goes_first).count(),
             objective: now.duration_until(job.objective),
             start_timeout: now.duration_until(job.start_deadline),
@@ -214,7 +212,7 @@
                 times: job.map(|j| task_times(now, j)),
             };
             let explain = |(&link, upstream): (&LinkNo, &Upstream)| {
-                let tasks = job.map_or(0, |j| j.count_at(place, link));
+                let tasks = job.map_or(0, |j| j.placed_at(place, link));
                 question.explain(link, upstream, tasks)
             };
             candidates = offering.map(explain).collect();
@@ -291,9 +289,11 @@
     }
 }
 
-/// Returns the tasks of the steps that can begin which have no upstream yet.
-fn waiting_tasks(steps: &[StepExplanation]) -> u32 {
-    let ready = steps.iter().filter(|s| s.dependencies.is_empty());
-    let waiting = ready.map(|s| s.tasks - s.candidates.iter().map(|c| c.tasks).sum::<u32>());
-    waiting.sum()
+/// Returns the number of tasks of the steps that can begin which have no upstream yet.
+fn waiting_tasks(job: &Job) -> u32 {
+    let is_waiting = |t: &&Task| {
+        let waits = matches!(t.state, TaskState::Waiting(_));
+        waits && job.is_step_ready(t.step)
+    };
+    job.tasks.iter().filter(is_waiting).count() as u32
 }
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -9,6 +9,7 @@
 use super::crashes::{CrashVerdict, Crashes};
 use super::links::LinkNo;
 use super::state::JobAnswer;
+use crate::runs::order::WorkOrder;
 use crate::runs::route::Route;
 
 /// The interval of the check whether a waiting task can still finish before its caller leaves.
@@ -228,15 +229,17 @@
         self.started_at.is_some() || self.active_runs().next().is_some()
     }
 
-    /// Returns the number of tasks of a step that are at the upstream behind a link.
+    /// Returns the number of tasks of a step that were placed at the upstream behind a link.
+    pub(super) fn placed_at(&self, step: usize, link: LinkNo) -> u32 {
+        let here = |t: &&Task| t.step == step && t.sent_link() == Some(link);
+        self.tasks.iter().filter(here).count() as u32
+    }
+
+    /// Returns the number of tasks of a step that may run at the upstream behind a link: those placed
+    /// there, and those with a spare claim there.
     pub(super) fn count_at(&self, step: usize, link: LinkNo) -> u32 {
-        let here = |t: &&Task| match t.state {
-            TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => t.step == step && l == link,
-            TaskState::Waiting(_) | TaskState::Done => false,
-        };
-        let spares = self.spare_runs();
-        let spares = spares.filter(|(r, l)| r.step as usize == step && *l == link);
-        (self.tasks.iter().filter(here).count() + spares.count()) as u32
+        let is_here = |(r, l): &(RunKey, LinkNo)| r.step as usize == step && *l == link;
+        self.placed_at(step, link) + self.spare_runs().filter(is_here).count() as u32
     }
 
     /// Returns when the job must be checked again even if no message arrives.
@@ -264,14 +267,21 @@
         due
     }
 
-    /// Returns the runs that may be queued or running, each with the link to its upstream.
+    /// Returns the runs that may be queued or running, each with the link to its upstream. Spare claims
+    /// are not among them.
     pub(super) fn active_runs(&self) -> impl Iterator<Item = (RunKey, LinkNo)> + '_ {
-        let link = |state: TaskState| match state {
-            TaskState::Sent { link, .. } | TaskState::Stopping(link) => Some(link),
-            TaskState::Waiting(_) | TaskState::Done => None,
-        };
         let tasks = self.tasks.iter().enumerate();
-        tasks.filter_map(move |(index, t)| Some((self.run_key(index), link(t.state)?)))
+        tasks.filter_map(|(index, t)| Some((self.run_key(index), t.sent_link()?)))
+    }
+
+    /// Returns all runs that a runner may have, each with the link to its upstream.
+    pub(super) fn all_runs(&self) -> impl Iterator<Item = (RunKey, LinkNo)> + '_ {
+        self.active_runs().chain(self.spare_runs())
+    }
+
+    /// Returns the place of the job among those that wait.
+    pub(super) fn work_order(&self, now: Time) -> WorkOrder {
+        WorkOrder::new(now, &self.urgency(now, self.critical_path))
     }
 }
 
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -76,10 +76,7 @@
     /// Places waiting tasks in the order of work.
     fn schedule(&mut self, now: Time) {
         let waiting = self.jobs.iter().filter(|(_, j)| j.has_waiting_task());
-        let row = |(&seq, job): (&u64, &Job)| {
-            let urgency = job.urgency(now, job.critical_path);
-            (WorkOrder::new(now, &urgency), seq)
-        };
+        let row = |(&seq, job): (&u64, &Job)| (job.work_order(now), seq);
         let mut order: Vec<(WorkOrder, u64)> = waiting.map(row).collect();
         order.sort_unstable();
         for (_, seq) in order {
@@ -118,10 +115,10 @@
             self.runs.remove(&run);
             if let Some(job) = self.jobs.get_mut(&seq) {
                 // A claim that was not confirmed has not started, and ends with its link.
-                let is_unconfirmed = job.tasks[index].is_unconfirmed();
-                let free_at = if is_unconfirmed { now } else { runs_gone };
+                let is_claim_pending = job.tasks[index].is_claim_pending();
+                let free_at = if is_claim_pending { now } else { runs_gone };
                 job.tasks[index].state = TaskState::Waiting(free_at);
-                if !is_unconfirmed {
+                if !is_claim_pending {
                     job.started_at.get_or_insert(now);
                 }
             }
@@ -134,8 +131,7 @@
 
     /// Closes a link that its runner no longer needs, unless it has active runs.
     pub(super) fn close_unneeded_link(&mut self, link: LinkNo) {
-        let runs = |j: &'_ Job| j.active_runs().chain(j.spare_runs()).collect::<Vec<_>>();
-        let mut active = self.jobs.values().flat_map(runs);
+        let mut active = self.jobs.values().flat_map(Job::all_runs);
         if active.any(|(_, l)| l == link) {
             return;
         }
--- a/crates/chervilring_core/src/runs/planner/retry_after.rs
+++ b/crates/chervilring_core/src/runs/planner/retry_after.rs
@@ -30,8 +30,10 @@
 /// Returns the delay after which a refused caller is to retry, in whole seconds; `random` lies from zero to
 /// one and differs between callers. It is never less than `least`.
 pub fn retry_after(least: Micros, drain: &Drain, random: f64) -> Micros {
-    let first = least.0.max(drain.ahead.0) as f64;
-    let span = (drain.ahead.0 + drain.returning.0) as f64;
+    let span = drain.ahead.0.saturating_add(drain.returning.0);
+    let span = span.min(MAX_RETRY_AFTER.0 / 2) as f64;
+    // Room for the span stays below the longest delay, so that long delays are spread as well.
+    let first = least.0.max(drain.ahead.0.min(MAX_RETRY_AFTER.0 / 2)) as f64;
     // Another digit of the random number decides between the whole seconds around the delay, so that
     // delays shorter than one are spread as well.
     let delay = first + span * random;
@@ -71,22 +73,25 @@
             return least;
         }
         let drain = Drain {
-            ahead: self.work_ahead(job),
+            ahead: self.work_ahead(seq, job),
             returning: Micros(self.refused_work.value(now) as u64),
         };
         self.refused_work.add(now, job.work);
         retry_after(least, &drain, self.retry_random.f64())
     }
 
-    /// Returns how long the work that waits at runners and here keeps the upstreams of a job's service busy.
-    fn work_ahead(&self, job: &Job) -> Micros {
+    /// Returns how long the other work that waits at runners and here keeps the upstreams of a job's service busy.
+    fn work_ahead(&self, seq: u64, job: &Job) -> Micros {
         let service = &job.submission.route.service;
         let accepting = self.links.values().filter(|u| u.accepts(service.as_str()));
         let drains: Vec<u64> = accepting.map(drain_time).collect();
         let at_runners = drains.iter().sum::<u64>() / drains.len().max(1) as u64;
-        let is_waiting = |j: &&Job| j.submission.route.service == *service && !j.may_have_started();
-        let here = self.jobs.values().filter(is_waiting).map(|j| j.work.0);
-        Micros(at_runners.saturating_add(here.sum()))
+        let is_ahead = |(other, j): &(&u64, &Job)| {
+            let is_same = j.submission.route.service == *service;
+            **other != seq && is_same && !j.may_have_started()
+        };
+        let here = self.jobs.iter().filter(is_ahead).map(|(_, j)| j.work.0);
+        Micros(here.fold(at_runners, u64::saturating_add))
     }
 }
 
--- a/crates/chervilring_core/src/runs/planner/settings.rs
+++ b/crates/chervilring_core/src/runs/planner/settings.rs
@@ -15,7 +15,7 @@
     pub resubmit_delay: Micros,
     /// The factor by which a task's run time grows outside the rack that holds its data.
     pub remote_factor: f64,
-    /// Whether the room of jobs of several tasks is claimed as a whole where it is short.
+    /// Whether tasks of urgent wide jobs claim room at two upstreams where it is short.
     pub claims: bool,
 }
 
--- a/crates/chervilring_core/src/runs/runner/claims.rs
+++ b/crates/chervilring_core/src/runs/runner/claims.rs
@@ -75,14 +75,14 @@
             let reason = if is_closed {
                 self.closed_refusal()
             } else {
-                RefuseReason::Unconfirmed
+                RefuseReason::ClaimExpired
             };
             self.abandon_queued(now, run, reason);
         }
     }
 
-    /// Returns a claim's room at the request of its planner, or because its link is lost.
-    pub(super) fn return_claim(&mut self, now: Time, run: RunKey) {
+    /// Gives back a claim's room at the request of its planner, or because its link is lost.
+    pub(super) fn give_back_claim(&mut self, now: Time, run: RunKey) {
         self.log(RunnerEvent::ClaimEnded {
             run,
             end: ClaimEnd::GivenBack,
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -30,8 +30,6 @@
     pub(super) close_after: Option<Time>,
     /// The evacuated domains that the planner is known to hold.
     pub(super) evacuations: Evacuations,
-    /// Whether the planner knows the messages on room that is short.
-    pub(super) knows_room: bool,
 }
 
 impl Link {
@@ -46,7 +44,6 @@
             sent_state: None,
             close_after: None,
             evacuations: Evacuations::default(),
-            knows_room: false,
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -37,7 +37,8 @@
         let mut accepted = 0;
         for run in start.runs {
             if let Some(reason) = self.refusal_reason(&start.service, &run, &start.demand, order) {
-                self.refuse(run, Some(link), reason);
+                self.log_refusal(run, reason);
+                self.send_refusal(run, Some(link), reason);
                 continue;
             }
             accepted += 1;
@@ -142,15 +143,23 @@
             return;
         }
         let link = row.link;
+        // A claim that its planner gives back is not refused.
+        let is_given_back = row.claim.is_some() && reason == RefuseReason::Stopped;
         self.runs.remove(&run);
-        self.refuse(run, link, reason);
+        if !is_given_back {
+            self.log_refusal(run, reason);
+        }
+        self.send_refusal(run, link, reason);
     }
 
-    /// Tells a planner that a run was not started and will not be.
-    fn refuse(&mut self, run: RunKey, link: Option<LinkNo>, reason: RefuseReason) {
+    fn log_refusal(&mut self, run: RunKey, reason: RefuseReason) {
         let free = self.free_capacity();
         let event = RunnerEvent::Refused { run, reason, free };
         self.steps.push(RunnerStep::Log(event));
+    }
+
+    /// Tells a planner that a run was not started and will not be.
+    fn send_refusal(&mut self, run: RunKey, link: Option<LinkNo>, reason: RefuseReason) {
         if let Some(link) = link {
             let message = RunnerMessage::Refused { run, reason };
             self.steps.push(RunnerStep::Send { link, message });
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -222,12 +222,7 @@
                 self.accept_runs(now, link, start, Some(Claim { hold }));
             }
             PlannerMessage::Confirm(runs) => self.confirm_claims(now, link, runs),
-            PlannerMessage::KnowsRoom => {
-                if let Some(row) = self.links.get_mut(&link) {
-                    row.knows_room = true;
-                }
-                self.tell_run_times(now, link);
-            }
+            PlannerMessage::KnowsRoom => self.tell_run_times(now, link),
             PlannerMessage::StoreRunTimes(rows) => self.run_times.store(now, rows),
             PlannerMessage::Stop(runs) => {
                 for run in runs {
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -40,18 +40,13 @@
         }
     }
 
-    /// Refuses a run that is still queued, or claimed and not confirmed. Any other run may have been started by the upstream.
+    /// Refuses a run that is still queued, or claimed and not confirmed. Any other run may have been
+    /// started by the upstream.
     pub(super) fn cancel_queued(&mut self, now: Time, run: RunKey) {
-        let is_queued = |r: &Run| r.state == RunState::Queued;
-        if self.runs.get(&run).is_some_and(is_queued) {
-            self.abandon_queued(now, run, RefuseReason::Stopped);
-        }
-        if self
-            .runs
-            .get(&run)
-            .is_some_and(|r| r.claim_deadline().is_some())
-        {
-            self.return_claim(now, run);
+        match self.runs.get(&run).map(|r| r.state) {
+            Some(RunState::Queued) => self.abandon_queued(now, run, RefuseReason::Stopped),
+            Some(RunState::Claimed(_)) => self.give_back_claim(now, run),
+            _ => {}
         }
     }
 
--- a/crates/chervilring_core/tests/runs/explain.rs
+++ b/crates/chervilring_core/tests/runs/explain.rs
@@ -5,7 +5,9 @@
     Caller, ChoiceReason, JobAnswer, LinkNo, NewJob, Obstacle, Outcome, PlannerEvent,
     PlannerSettings, PlannerStep, Refusal, Step,
 };
-use chervilring_wire::{Evacuations, JobId, Micros, Resources, RunnerMessage, Time, UpstreamState};
+use chervilring_wire::{
+    Evacuations, JobId, Micros, Resources, RunnerLevel, RunnerMessage, Time, UpstreamState,
+};
 
 use super::world::route;
 
@@ -21,6 +23,11 @@
 
 /// Returns a planner with an upstream of eight cores for each number of free thousandths of a core.
 fn planner(free: &[u64]) -> Planner {
+    planner_with_links(1, free)
+}
+
+/// Returns such a planner whose links have this sequence number.
+fn planner_with_links(link_seq: u64, free: &[u64]) -> Planner {
     let mut planner = Planner::new(PlannerSettings::default(), NOW);
     for (place, &free) in free.iter().enumerate() {
         let link = LinkNo(place as u64);
@@ -28,7 +35,7 @@
             name: format!("u{place}").as_str().into(),
             domain: format!("d{place}").as_str().into(),
             incarnation: 1,
-            link_seq: 1,
+            link_seq,
             replica_version: 0,
         };
         planner.message(NOW, link, hello);
@@ -159,3 +166,12 @@
     let explanation = planner.explain(NOW, &job(1, 1, 1_000));
     assert_eq!(explanation.outcome, Outcome::InHand);
 }
+
+#[test]
+fn claims_at_a_second_upstream_are_not_counted_as_places() {
+    let planner = planner_with_links(RunnerLevel::ROOM.mark_link(1), &[4_000, 4_000]);
+    let explanation = planner.explain(NOW, &job(1, 8, 1_000));
+    assert_eq!(explanation.outcome, Outcome::Placed { waiting: 0 });
+    let rows = explanation.steps[0].candidates.iter();
+    assert_eq!(rows.map(|c| c.tasks).sum::<u32>(), 8);
+}
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -1,6 +1,7 @@
 //! The log lines of a planner.
 
 use chervilring_core::runs::planner::PlannerEvent;
+use chervilring_wire::Name;
 use slog::{Logger, info, warn};
 
 use super::told;
@@ -16,10 +17,12 @@
             unplaced,
             claimed,
         } => {
-            let runners: Vec<String> = runners.iter().map(|(n, k)| format!("{n}:{k}")).collect();
-            info!(log, "placed"; "job" => %job, "runners" => runners.join(" "),
+            info!(log, "placed"; "job" => %job, "runners" => runner_counts(runners),
                 "waited_us" => waited.0, "state_age_us" => state_age.0, "left" => unplaced, "claimed" => claimed);
         }
+        PlannerEvent::SparesClaimed { job, runners } => {
+            info!(log, "second claims"; "job" => %job, "runners" => runner_counts(runners));
+        }
         PlannerEvent::Queued {
             job,
             queue_len,
@@ -99,3 +102,9 @@
         }
     }
 }
+
+/// Writes runners, each with a number of tasks.
+fn runner_counts(runners: &[(Name, u32)]) -> String {
+    let rows: Vec<String> = runners.iter().map(|(n, k)| format!("{n}:{k}")).collect();
+    rows.join(" ")
+}
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -383,7 +383,7 @@
     /// The failure domain of the upstream is evacuated.
     Evacuated,
     /// The claim of its room was not confirmed in time. Sent only for claims.
-    Unconfirmed,
+    ClaimExpired,
 }
 
 /// How a run ended. The variant names are written to the log.
