--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -138,7 +138,8 @@
     }
 }
 
-/// Adds a task to the placement on an upstream, which has less room from then on. Returns the placement.
+/// Adds a task to the placement on an upstream, which has less room from then on. Returns the
+/// placement.
 pub(super) fn take_slot<'p>(
     slot: &mut UpstreamSlot<'_>,
     demand: &Resources,
--- a/crates/chervilring_core/src/runs/planner/retry_after.rs
+++ b/crates/chervilring_core/src/runs/planner/retry_after.rs
@@ -1,7 +1,8 @@
 //! When callers of refused jobs are to come back.
 //!
-//! It answers bursts whose refused callers, all sent back by the same time, would come again as one burst:
-//! they are told to come when what is ahead of them is done, over a span in which their own work can be.
+//! It answers bursts whose refused callers, all sent back by the same time, would come again as one
+//! burst: they are told to come when what is ahead of them is done, over a span in which their own
+//! work can be.
 
 use chervilring_wire::{Micros, Time};
 
@@ -80,7 +81,8 @@
         retry_after(least, &drain, self.retry_random.f64())
     }
 
-    /// Returns how long the other work that waits at runners and here keeps the upstreams of a job's service busy.
+    /// Returns how long the other work that waits at runners and here keeps the upstreams of a job's
+    /// service busy.
     fn work_ahead(&self, seq: u64, job: &Job) -> Micros {
         let service = &job.submission.route.service;
         let accepting = self.links.values().filter(|u| u.accepts(service.as_str()));
--- a/crates/chervilring_core/tests/runs/scarcity.rs
+++ b/crates/chervilring_core/tests/runs/scarcity.rs
@@ -90,8 +90,8 @@
     world
 }
 
-/// Five seconds of load with more than all upstreams can do, on each of three seeds. `priority` gives the
-/// priority of the route of a kind. Returns what each kind got in the mean.
+/// Five seconds of load with more than all upstreams can do, on each of three seeds. `priority` gives
+/// the priority of the route of a kind. Returns what each kind got in the mean.
 fn overload(priority: fn(Kind) -> u32) -> [Outcome; 3] {
     let mut sums = [Outcome::default(); 3];
     for seed in 1..=SEEDS {
