Runners: planners share a full queue by what they ask for, and are told the load by priority

Cause: a runner's queue holds what its upstream runs at once. When it is full, what is last in order makes way, so that a planner whose runs are due later, or that has few, finds it full whenever it comes; and a planner knows only its own jobs.

Change: within the class of urgency that has to make way, the planner makes way that would keep most for what it has asked for lately; what stays starts in the order of work, as before. With one planner it is the rule of before. Planners that know the messages on room are told the queued demand and the mean wait by priority, when it has changed, at most each 50 ms, and every 250 ms while it lasts.

--- a/crates/chervilring_core/src/runs/bounds.rs
+++ b/crates/chervilring_core/src/runs/bounds.rs
@@ -19,6 +19,9 @@
 /// links have ended by then.
 pub const PAUSE_LIMIT: Micros = LINK_TIMEOUT;
 
+/// How often a load is repeated while it lasts.
+pub(super) const LOAD_REPEAT: Micros = Micros::from_millis(250);
+
 /// The buckets in which queue timeouts are reported to planners. Exact values would change
 /// constantly, and each change would cost a message.
 const QUEUE_TIMEOUT_BUCKETS: [Micros; 6] = [
--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -100,6 +100,15 @@
         /// The number of runs that are stopped.
         runs: u32,
     },
+    /// The queue was full of runs of several planners, of which some made way.
+    RoomShared {
+        /// The priority.
+        priority: u32,
+        /// The number of planners whose runs wait.
+        planners: usize,
+        /// The number of runs that made way since the last such event.
+        runs: u32,
+    },
     /// The process was paused.
     Paused {
         /// How long the pause lasted.
--- a/crates/chervilring_core/src/runs/runner/links.rs
+++ b/crates/chervilring_core/src/runs/runner/links.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use chervilring_wire::{Evacuations, Micros, Time, UpstreamState};
+use chervilring_wire::{Evacuations, Micros, Time, UpstreamLoad, UpstreamState};
 
 use crate::runs::bounds::LINK_TIMEOUT;
 
@@ -32,6 +32,8 @@
     pub(super) evacuations: Evacuations,
     /// Whether the planner knows the messages on room that is short.
     pub(super) knows_room: bool,
+    /// The last load that was sent, and when.
+    pub(super) sent_load: Option<(UpstreamLoad, Time)>,
 }
 
 impl Link {
@@ -47,6 +49,7 @@
             close_after: None,
             evacuations: Evacuations::default(),
             knows_room: false,
+            sent_load: None,
         }
     }
 
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -1,12 +1,13 @@
 //! Runs from their request to their start or refusal.
 
 use chervilring_wire::{
-    OrderedStart, RefuseReason, Resources, RunEnd, RunKey, RunnerMessage, ServiceName, Time,
+    OrderedStart, RefuseReason, RunEnd, RunKey, RunnerMessage, ServiceName, Time,
 };
 
 use super::call::{CallOutcome, CallRefusal};
 use super::event::RunnerEvent;
 use super::pace::RunPace;
+use super::shares::{QueuedRun, ShareClass};
 use super::state::{Run, RunState, Runner, RunnerStep};
 use crate::runs::order::WorkOrder;
 use crate::runs::planner::LinkNo;
@@ -16,6 +17,7 @@
     pub(super) fn accept_runs(&mut self, now: Time, link: LinkNo, ordered: OrderedStart) {
         let OrderedStart { start, urgency } = ordered;
         let order = WorkOrder::new(now, &urgency);
+        let class = ShareClass::from(&urgency);
         let Some(row) = self.links.get_mut(&link).filter(|l| l.hello_sent) else {
             return;
         };
@@ -28,7 +30,15 @@
         let first = start.runs.first().copied();
         let mut accepted = 0;
         for run in start.runs {
-            if let Some(reason) = self.refusal_reason(&start.service, &run, &start.demand, order) {
+            let asking = QueuedRun {
+                run,
+                link: Some(link),
+                class,
+                order,
+                demand: start.demand,
+            };
+            self.record_demand(now, &asking);
+            if let Some(reason) = self.refusal_reason(now, &start.service, asking) {
                 self.refuse(run, Some(link), reason);
                 continue;
             }
@@ -46,6 +56,7 @@
                 accepted: now,
                 start_deadline,
                 order,
+                class,
                 retry_at: None,
             };
             self.runs.insert(run, row);
@@ -62,17 +73,12 @@
         self.trim_queue(now);
     }
 
-    /// Refuses the runs that are last in order while the queue exceeds the upstream's capacity.
+    /// Refuses the runs that make way while the queue exceeds the upstream's capacity.
     fn trim_queue(&mut self, now: Time) {
-        let Some(capacity) = self.upstream.as_ref().map(|u| u.report.capacity) else {
+        if self.upstream.is_none() {
             return;
-        };
-        while !capacity.can_fit(&self.queued_demand()) {
-            let is_queued = |(_, r): &(&RunKey, &Run)| r.state == RunState::Queued;
-            let rows = self.runs.iter().filter(is_queued);
-            let Some((&run, _)) = rows.max_by_key(|(run, r)| (r.order, **run)) else {
-                return;
-            };
+        }
+        for run in self.yielding_runs(now) {
             self.abandon_queued(now, run, RefuseReason::Room);
         }
     }
@@ -107,6 +113,8 @@
             }
             free = free.saturating_sub(&row.demand);
             row.state = RunState::Starting;
+            let wait = now.duration_since(row.accepted);
+            self.waits.record(now, row.class.priority, wait);
             self.call_start(now, run);
         }
     }
@@ -122,6 +130,10 @@
             return;
         }
         let link = row.link;
+        if reason == RefuseReason::Room {
+            let wait = now.duration_since(row.accepted);
+            self.waits.record(now, row.class.priority, wait);
+        }
         self.runs.remove(&run);
         self.refuse(run, link, reason);
     }
@@ -146,13 +158,12 @@
         }
     }
 
-    /// Returns why a run with this place in the order is not accepted, if it is not.
+    /// Returns why a run is not accepted, if it is not.
     fn refusal_reason(
         &self,
+        now: Time,
         service: &ServiceName,
-        run: &RunKey,
-        demand: &Resources,
-        order: WorkOrder,
+        asking: QueuedRun,
     ) -> Option<RefuseReason> {
         let Some(upstream) = self.upstream.as_ref().filter(|_| self.is_accepting()) else {
             return Some(self.closed_refusal());
@@ -163,16 +174,11 @@
         // Another run of the same task is still here, for another planner or because it is being
         // stopped.
         let task = |r: &RunKey| (r.job, r.occurrence, r.step, r.index);
-        let duplicate = self.runs.keys().any(|r| task(r) == task(run));
+        let duplicate = self.runs.keys().any(|r| task(r) == task(&asking.run));
         if duplicate {
             return Some(RefuseReason::Twin);
         }
-        // Queued runs that are later in order yield.
-        let ahead = |r: &&Run| r.state == RunState::Queued && r.order <= order;
-        let rows = self.runs.values().filter(ahead);
-        let queue = rows.fold(*demand, |sum, r| sum.saturating_add(&r.demand));
-        let fits = upstream.report.capacity.can_fit(&queue);
-        (!fits).then_some(RefuseReason::Room)
+        self.must_yield(now, asking).then_some(RefuseReason::Room)
     }
 
     pub(super) fn handle_start_outcome(
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -10,8 +10,10 @@
 use super::call::{CallOutcome, UpstreamCall};
 use super::event::RunnerEvent;
 use super::links::Link;
+use super::load::Waits;
 use super::pace::RunPace;
 use super::record::UpstreamRecord;
+use super::shares::{ShareClass, Shares};
 use super::upstream::Upstream;
 use crate::runs::bounds::{MAX_ORPHAN_TIME, queue_timeout_bucket};
 use crate::runs::evacuation::EvacuationSource;
@@ -87,6 +89,8 @@
     pub(super) start_deadline: Time,
     /// Its place among the queued runs.
     pub(super) order: WorkOrder,
+    /// The class of urgency within which planners share room.
+    pub(super) class: ShareClass,
     /// When to retry a call that got no answer, provided that the upstream answers again.
     pub(super) retry_at: Option<Time>,
 }
@@ -121,6 +125,10 @@
     pub(super) stored_speed: (u32, Time),
     /// When the leases granted by an earlier incarnation of this runner have certainly expired.
     pub(super) prior_expiry: Time,
+    /// The turns of planners whose runs wait.
+    pub(super) shares: Shares,
+    /// How long runs have waited for room.
+    pub(super) waits: Waits,
 }
 
 impl Runner {
@@ -152,6 +160,8 @@
             speed: Speed::default(),
             stored_speed: (Speed::default().permille(), now),
             prior_expiry: now + MAX_ORPHAN_TIME,
+            shares: Shares::default(),
+            waits: Waits::default(),
         }
     }
 
@@ -307,14 +317,6 @@
         taking.fold(all, less)
     }
 
-    /// Returns the total demand of queued runs.
-    pub(super) fn queued_demand(&self) -> Resources {
-        let waiting = self.runs.values().filter(|r| r.state == RunState::Queued);
-        waiting.fold(Resources::default(), |sum, run| {
-            sum.saturating_add(&run.demand)
-        })
-    }
-
     /// Returns the total demand of queued runs, grouped by the time until they are due.
     pub(super) fn queued_by_timeout(&self, now: Time) -> Vec<QueuedRuns> {
         let mut rows: Vec<QueuedRuns> = Vec::new();
--- a/crates/chervilring_core/src/runs/runner/state_updates.rs
+++ b/crates/chervilring_core/src/runs/runner/state_updates.rs
@@ -54,7 +54,7 @@
 }
 
 /// Returns whether two amounts differ by more than a fraction of the total.
-fn is_far(a: &Resources, b: &Resources, all: &Resources, threshold: f64) -> bool {
+pub(super) fn is_far(a: &Resources, b: &Resources, all: &Resources, threshold: f64) -> bool {
     let far = |a: u64, b: u64, all: u64| a.abs_diff(b) as f64 > all as f64 * threshold;
     far(a.cpu, b.cpu, all.cpu) || far(a.memory, b.memory, all.memory) || far(a.gpu, b.gpu, all.gpu)
 }
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -37,6 +37,7 @@
         self.store_speed_if_changed(now);
         self.log_accepting();
         self.send_states(now);
+        self.send_loads(now);
         self.check_shutdown(now);
     }
 
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -12,6 +12,7 @@
 mod replicas;
 mod restarts;
 mod schedules;
+mod shares;
 mod slowdown;
 mod unfit;
 mod units;
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -66,6 +66,14 @@
             evacuations,
             source,
         } => told::log_evacuations(log, evacuations, *source, 0),
+        RunnerEvent::RoomShared {
+            priority,
+            planners,
+            runs,
+        } => {
+            info!(log, "room shared among planners"; "priority" => priority,
+                "planners" => planners, "yielded" => runs);
+        }
         RunnerEvent::Paused { duration } => {
             warn!(log, "stood still"; "span_us" => duration.0);
         }
--- a/crates/chervilring_daemon/src/runs/runner_report.rs
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -14,6 +14,7 @@
     pub(super) evacuated: Gauge<u64>,
     taken: Counter<u64>,
     refused: Counter<u64>,
+    yielded: Counter<u64>,
     handed_back: Counter<u64>,
     done: Counter<u64>,
     failed: Counter<u64>,
@@ -32,6 +33,10 @@
             planners: metrics.gauge("planners", "Planners whose link is up"),
             evacuated: metrics.gauge("domains_evacuated", "Failure domains that are evacuated"),
             taken: metrics.counter("runs_taken", "Runs taken on"),
+            yielded: metrics.counter(
+                "runs_yielded",
+                "Runs that made way in a queue full of runs of several planners",
+            ),
             refused: metrics.counter("runs_refused", "Runs refused or not started"),
             handed_back: metrics.counter(
                 "runs_handed_back",
@@ -57,6 +62,7 @@
                 let is_evacuated = *reason == RefuseReason::Evacuated;
                 self.handed_back.add(u64::from(is_evacuated), &[]);
             }
+            RunnerEvent::RoomShared { runs, .. } => self.yielded.add(u64::from(*runs), &[]),
             RunnerEvent::NotStarted { .. } => self.refused.add(1, &[]),
             RunnerEvent::NoAnswer { .. } => self.unanswered.add(1, &[]),
             RunnerEvent::LinkLost { .. } => self.lost.add(1, &[]),
