Planners: refusals at once by the load that runners tell, Retry-After by what is ahead, unready when late

Cause: a job that finds no place waits for its share of the objective only to be refused then; all refused callers are told to come back after the same second; a planner on a host that is short of processor goes on asking for new work.

Change: a job of which nothing was sent is refused at once if no upstream has a place for it and at more than half of them work of its priority waits longer than it may; one is tried each 50 ms all the same. Loads that are older than 625 ms or not told count as no load. Retry-After is what is ahead, or the least, and a span in which the refused work can be done, in whole seconds by chance. A planner whose loop is late by a third of the shortest objective for two seconds says by chance that it is not ready for 3 s, and is ready for 27 s from then.

Tests: the world's new_job is visible to the tests of the load; nothing else of existing tests changed.

--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -4,6 +4,7 @@
     DomainName, Evacuations, JobId, Micros, Name, RefuseReason, Resources, RunEnd, RunKey,
 };
 
+use super::readiness::Lateness;
 use super::state::JobAnswer;
 use crate::runs::evacuation::EvacuationSource;
 
@@ -32,6 +33,22 @@
         /// The number of upstreams that accept runs of its service.
         upstreams: usize,
     },
+    /// A job is refused at once, because work of its priority waits longer elsewhere than it may.
+    Hopeless {
+        /// The job.
+        job: JobId,
+        /// The priority of its route.
+        priority: u32,
+        /// How long work of this priority waits at the least loaded of most upstreams.
+        expected: Micros,
+        /// How long the job may wait.
+        allowed: Micros,
+    },
+    /// The planner says for a while that it is not ready, because its loop runs late.
+    Unready {
+        /// How late it runs.
+        lateness: Lateness,
+    },
     /// A run was refused or lost, or ended without success.
     RunLost {
         /// The run.
--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -108,6 +108,7 @@
 
     /// Answers a job and removes it.
     pub(super) fn answer_job(&mut self, now: Time, seq: u64, answer: JobAnswer) {
+        let retry_after = self.retry_after(now, seq, answer);
         let Some(job) = self.jobs.get(&seq) else {
             return;
         };
@@ -129,7 +130,7 @@
                 caller,
                 job: job.submission.id,
                 answer,
-                retry_after: self.settings.retry_after,
+                retry_after,
             });
         }
         self.steps.push(PlannerStep::Log(event));
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -88,10 +88,8 @@
                 }
             }
             RunnerMessage::Progress(rows) => self.check_progress(now, &rows),
-            RunnerMessage::Claimed(_)
-            | RunnerMessage::Load(_)
-            | RunnerMessage::RunTimes(_)
-            | RunnerMessage::Doubts(_) => {}
+            RunnerMessage::Load(load) => self.update_load(now, link, load),
+            RunnerMessage::Claimed(_) | RunnerMessage::RunTimes(_) | RunnerMessage::Doubts(_) => {}
         }
     }
 
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -11,7 +11,10 @@
 use super::event::PlannerEvent;
 use super::job::{Caller, Job, NewJob, PastJob, Task, TaskState};
 use super::links::LinkNo;
+use super::load::LoadGate;
+use super::readiness::LoopWatch;
 use super::resubmission::{JobArrival, ResubmissionDetector};
+use super::retry_after::RefusedWork;
 use super::settings::PlannerSettings;
 use super::upstream::{Profile, Upstream};
 use crate::runs::bounds::HEARTBEAT_INTERVAL;
@@ -108,6 +111,12 @@
     /// Whether capacity may have become free, or tasks may have become ready, since the last
     /// scheduling.
     pub(super) capacity_changed: bool,
+    /// Which priorities are refused at once.
+    pub(super) load_gate: LoadGate,
+    /// The work that was refused lately.
+    pub(super) refused_work: RefusedWork,
+    /// How late the process does what is due.
+    pub(super) loop_watch: LoopWatch,
     last_seq: u64,
 }
 
@@ -132,6 +141,9 @@
             resubmissions: ResubmissionDetector::default(),
             next_heartbeat: now + HEARTBEAT_INTERVAL,
             capacity_changed: false,
+            load_gate: LoadGate::default(),
+            refused_work: RefusedWork::default(),
+            loop_watch: LoopWatch::default(),
             last_seq: 0,
         }
     }
@@ -197,6 +209,10 @@
         }
         let unplaced = self.place_job(now, seq);
         if unplaced > 0 && self.jobs.get(&seq).is_some_and(|j| !j.may_have_started()) {
+            if self.is_hopeless(now, seq) {
+                self.give_up(now, seq, Refusal::Overload);
+                return;
+            }
             self.log_queued(seq);
         }
         self.check_job(now, seq);
--- a/crates/chervilring_core/src/runs/planner/upstream.rs
+++ b/crates/chervilring_core/src/runs/planner/upstream.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use chervilring_wire::{
-    DomainName, Evacuations, Micros, Name, QueuedRuns, Resources, RunnerLevel, Time, UpstreamState,
+    DomainName, Evacuations, Micros, Name, QueuedRuns, Resources, RunnerLevel, Time, UpstreamLoad,
+    UpstreamState,
 };
 
 use super::health::Health;
@@ -78,6 +79,8 @@
     pub(super) evacuations: Evacuations,
     /// Whether its failure domain is evacuated.
     pub(super) evacuated: bool,
+    /// The load that its runner told last, and when.
+    pub(super) load: Option<(UpstreamLoad, Time)>,
 }
 
 impl Upstream {
@@ -97,6 +100,7 @@
             replica_sent: 0,
             evacuations: Evacuations::default(),
             evacuated: false,
+            load: None,
         }
     }
 
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod focused;
 mod link_events;
+mod load;
 mod order;
 mod placing;
 mod remote;
--- a/crates/chervilring_core/tests/runs/world/callers.rs
+++ b/crates/chervilring_core/tests/runs/world/callers.rs
@@ -135,7 +135,7 @@
     })
 }
 
-pub(super) fn new_job(job: &TestJob, now: Time) -> NewJob {
+pub(crate) fn new_job(job: &TestJob, now: Time) -> NewJob {
     NewJob {
         id: JobId(job.id),
         route: route(),
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -15,7 +15,7 @@
 use chervilring_core::runs::{Planner, Runner};
 use chervilring_wire::{Evacuations, Time};
 
-pub(crate) use callers::{TestJob, route, test_job};
+pub(crate) use callers::{TestJob, new_job, route, test_job};
 pub(crate) use evacuation::Reader;
 use evacuation::STORE_DELAY;
 use links::Link;
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -63,6 +63,8 @@
     parts: Parts,
     routes: Option<RouteTable>,
     timer: Option<FixedTimerKey>,
+    /// When what is due next is to be done.
+    due: Time,
     /// Whether what is due is about to be done.
     pending: bool,
     /// When a stop was asked for.
@@ -169,6 +171,7 @@
     fn init(cx: CX![], parts: Parts) -> Option<Self> {
         let mut this = Self {
             sweep: parts.clock.time() + SWEEP,
+            due: Time::NEVER,
             parts,
             routes: None,
             timer: None,
@@ -285,6 +288,7 @@
     fn carry(&mut self, cx: CX![]) {
         self.check_pause();
         let now = self.parts.clock.time();
+        self.record_lateness(now);
         self.parts.planner.tick(now);
         let events = self.steps(now);
         if !events.is_empty() {
@@ -303,6 +307,16 @@
         self.set_timer(cx);
     }
 
+    /// Records how late what was due is done.
+    fn record_lateness(&mut self, now: Time) {
+        let routes = self.routes.as_ref().map_or(&[][..], |r| r.routes());
+        let objective = routes.iter().map(|r| r.target_duration).min();
+        if let Some(objective) = objective.filter(|o| *o > Micros::default()) {
+            let due = self.due;
+            self.parts.planner.record_lateness(now, due, objective);
+        }
+    }
+
     /// Carries out the planner's steps; returns what came in behind answered requests.
     fn steps(&mut self, now: Time) -> Vec<HttpEvent> {
         let mut events = Vec::new();
@@ -353,6 +367,8 @@
 
     fn set_timer(&mut self, cx: CX![]) {
         let wake = self.parts.planner.wake_at();
+        let now = self.parts.clock.time();
+        self.due = wake.max(now).min(now + Micros(TICK.as_micros() as u64));
         let due = self.parts.clock.instant(wake).min(cx.now() + TICK);
         if let Some(timer) = self.timer.take() {
             cx.timer_del(timer);
--- a/crates/chervilring_daemon/src/runs/planner/serving.rs
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -2,6 +2,7 @@
 
 use chervilring_core::runs::planner::Caller;
 use chervilring_wire::Time;
+use opentelemetry::KeyValue;
 use stakker::CX;
 
 use super::super::dialect::CallerCall;
@@ -66,6 +67,7 @@
         let now = self.parts.clock.time();
         let able = self.routes.is_some()
             && self.stopping.is_none()
+            && self.parts.planner.is_in_time(now)
             && self.parts.planner.runner_count() > 0;
         let status = if able { 200 } else { 503 };
         for event in self.parts.ready.handle(now, ready) {
@@ -96,7 +98,24 @@
         let (domains, upstreams) = (planner.evacuated_domains(), planner.evacuated_upstreams());
         report.evacuated.record(domains as u64, &[]);
         report.left_out.record(upstreams as u64, &[]);
+        self.record_expected_waits(now);
+        let report = &self.parts.report;
         ports::serve_metrics(&mut self.parts.metrics, now, ready, &report.metrics);
         self.carry_soon(cx);
     }
+
+    /// Records how long work of each priority waits, as runners tell.
+    fn record_expected_waits(&self, now: Time) {
+        let routes = self.routes.as_ref().map_or(&[][..], |r| r.routes());
+        for route in routes {
+            let service = route.service.as_str();
+            let view = self.parts.planner.load_view(now, service, route.priority);
+            let labels = [
+                KeyValue::new("service", service.to_owned()),
+                KeyValue::new("priority", i64::from(route.priority)),
+            ];
+            let wait = view.expected_wait();
+            self.parts.report.expected_wait.record(wait.0, &labels);
+        }
+    }
 }
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -26,6 +26,19 @@
         } => {
             info!(log, "queued"; "job" => %job, "queue" => queue_len, "upstreams" => upstreams);
         }
+        PlannerEvent::Hopeless {
+            job,
+            priority,
+            expected,
+            allowed,
+        } => {
+            info!(log, "refused at once"; "job" => %job, "priority" => priority,
+                "expected_us" => expected.0, "allowed_us" => allowed.0);
+        }
+        PlannerEvent::Unready { lateness } => {
+            warn!(log, "not ready, loop runs late"; "late_us" => lateness.mean.0,
+                "limit_us" => lateness.limit.0);
+        }
         PlannerEvent::RunLost { run, runner, cause } => {
             let runner = runner.as_deref().unwrap_or("");
             info!(log, "run lost"; "job" => %run.job, "run" => %run, "runner" => runner,
--- a/crates/chervilring_daemon/src/runs/planner_report.rs
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -15,11 +15,14 @@
     pub(super) failed_reads: Gauge<u64>,
     pub(super) evacuated: Gauge<u64>,
     pub(super) left_out: Gauge<u64>,
+    pub(super) expected_wait: Gauge<u64>,
     /// Jobs taken from callers.
     pub(super) submitted: Counter<u64>,
     completed: Counter<u64>,
     failed: Counter<u64>,
     refused: Counter<u64>,
+    refused_at_once: Counter<u64>,
+    unready: Counter<u64>,
     given_up: Counter<u64>,
     abandoned: Counter<u64>,
     met: Counter<u64>,
@@ -50,6 +53,18 @@
             submitted: metrics.counter("jobs_submitted", "Jobs taken from callers"),
             completed: metrics.counter("jobs_completed", "Jobs that were done"),
             failed: metrics.counter("jobs_failed", "Jobs of which a task failed for good"),
+            expected_wait: metrics.gauge(
+                "wait_expected_us",
+                "Microseconds that work of a priority waits for room at most upstreams",
+            ),
+            refused_at_once: metrics.counter(
+                "jobs_refused_at_once",
+                "Jobs refused as work of their priority waits longer than they may",
+            ),
+            unready: metrics.counter(
+                "unready_late",
+                "Times that the planner was not ready because its loop ran late",
+            ),
             refused: metrics.counter("jobs_refused", "Jobs refused before anything ran"),
             given_up: metrics.counter("jobs_given_up", "Jobs given up after something had run"),
             abandoned: metrics.counter("jobs_abandoned", "Jobs whose callers left"),
@@ -75,6 +90,8 @@
                 let is_crash = *cause == LossCause::Ended(RunEnd::Lapsed);
                 self.crashes.add(u64::from(is_crash), &[]);
             }
+            PlannerEvent::Hopeless { .. } => self.refused_at_once.add(1, &[]),
+            PlannerEvent::Unready { .. } => self.unready.add(1, &[]),
             PlannerEvent::Abandoned { .. } => self.abandoned.add(1, &[]),
             PlannerEvent::LinkDown { .. } => self.links.add(1, &[]),
             PlannerEvent::UpstreamEjected { .. } => self.out.add(1, &[]),
