Loads: tests of what a runner tells while runs wait, and that older planners are told nothing

Cause: the tests of before told loads by hand.

Change: the harness of the runner's tests collects loads, and run() of it is visible to the tests of the load. No check of existing tests changed.

--- a/crates/chervilring_core/tests/runs/down.rs
+++ b/crates/chervilring_core/tests/runs/down.rs
@@ -8,6 +8,7 @@
 };
 use chervilring_wire::{
     JobId, Micros, PlannerMessage, Resources, RunEnd, RunKey, RunnerMessage, StartRuns, Time,
+    UpstreamLoad,
 };
 
 pub(crate) const LINK: LinkNo = LinkNo(1);
@@ -26,6 +27,8 @@
     pub(crate) refused: usize,
     /// Ends of runs reported to the planner.
     pub(crate) ends: Vec<RunEnd>,
+    /// Loads told to the planner.
+    pub(crate) loads: Vec<UpstreamLoad>,
 }
 
 fn report() -> Report {
@@ -49,7 +52,7 @@
     }
 }
 
-fn run(index: u32) -> RunKey {
+pub(crate) fn run(index: u32) -> RunKey {
     RunKey {
         job: JobId(5),
         occurrence: 0,
@@ -88,6 +91,7 @@
             started: 0,
             refused: 0,
             ends: Vec::new(),
+            loads: Vec::new(),
         };
         harness.runner.handle_report(Time(0), report());
         harness.run(20, healthy);
@@ -122,6 +126,7 @@
             RunnerMessage::Started(_) => self.started += 1,
             RunnerMessage::Refused { .. } => self.refused += 1,
             RunnerMessage::Ended { end, .. } => self.ends.push(*end),
+            RunnerMessage::Load(load) => self.loads.push(load.clone()),
             _ => {}
         }
     }
--- a/crates/chervilring_core/tests/runs/load.rs
+++ b/crates/chervilring_core/tests/runs/load.rs
@@ -5,12 +5,14 @@
     Caller, Drain, JobAnswer, LinkNo, LoadGate, LoadView, LoopWatch, PlannerSettings, PlannerStep,
     Refusal, retry_after,
 };
+use chervilring_core::runs::runner::{CallOutcome, ListedRun, UpstreamCall};
 use chervilring_wire::{
-    ClassLoad, Micros, QueuedRuns, Resources, RunnerLevel, RunnerMessage, Time, UpstreamLoad,
-    UpstreamState,
+    ClassLoad, Micros, PlannerMessage, QueuedRuns, Resources, RunnerLevel, RunnerMessage, Time,
+    UpstreamLoad, UpstreamState,
 };
 use quickcheck::quickcheck;
 
+use super::down::{Harness, LINK, healthy, lists, run};
 use super::world::{Without, World, new_job, test_job};
 
 const MS: fn(u64) -> Micros = Micros::from_millis;
@@ -258,3 +260,50 @@
     assert!(least >= 0.3, "{shares:?}");
     assert!(most - least <= 0.1, "{shares:?}");
 }
+
+/// Answers as an upstream that is full of the first sixteen runs.
+fn busy(call: &UpstreamCall) -> CallOutcome {
+    let active = |index| ListedRun {
+        run: run(index),
+        percent: 0,
+    };
+    match call {
+        UpstreamCall::Poll { .. } => lists((0..16).map(active).collect()),
+        _ => CallOutcome::Done { clock: Some(1) },
+    }
+}
+
+/// Returns the loads that a runner tells a planner in 1.5 s, after 32 runs of which 16 find room and the
+/// others are refused after 500 ms.
+fn loads_told(knows_room: bool) -> Vec<UpstreamLoad> {
+    let mut harness = Harness::new();
+    if knows_room {
+        harness
+            .runner
+            .message(harness.now, LINK, PlannerMessage::KnowsRoom);
+    }
+    harness.run(100, healthy);
+    assert_eq!(harness.loads, []);
+    harness.start(16);
+    harness.run(1, busy);
+    // Those that run are refused as duplicates, and the others wait.
+    harness.start(32);
+    harness.run(1_500, busy);
+    harness.loads
+}
+
+#[test]
+fn runners_tell_the_load_while_runs_wait_and_that_it_is_over() {
+    let loads = loads_told(true);
+    let most = 1_500 / 50 + 1;
+    assert!(loads.len() <= most, "{} loads", loads.len());
+    assert_eq!(loads[0].classes[0].queued.cpu, 16_000);
+    let waits = loads.iter().flat_map(|l| &l.classes).map(|c| c.wait);
+    assert!(waits.max() >= Some(MS(300)), "{loads:?}");
+    assert_eq!(loads.last().map(|l| l.classes.len()), Some(0));
+}
+
+#[test]
+fn planners_that_do_not_know_loads_are_told_none() {
+    assert_eq!(loads_told(false), []);
+}
