--- a/crates/chervilring_core/tests/runs/load.rs
+++ b/crates/chervilring_core/tests/runs/load.rs
@@ -300,6 +300,8 @@
     assert_eq!(loads[0].classes[0].queued.cpu, 16_000);
     let waits = loads.iter().flat_map(|l| &l.classes).map(|c| c.wait);
     assert!(waits.max() >= Some(MS(300)), "{loads:?}");
+    let over = loads.iter().filter(|l| l.classes.is_empty());
+    assert_eq!(over.count(), 1);
     assert_eq!(loads.last().map(|l| l.classes.len()), Some(0));
 }
 
