--- a/crates/chervilring_core/src/runs/order.rs
+++ b/crates/chervilring_core/src/runs/order.rs
@@ -32,6 +32,14 @@
         }
     }
 
+    /// Returns a place before all work that is due later than now.
+    pub(super) fn first(now: Time) -> Self {
+        Self {
+            late: false,
+            due: now,
+        }
+    }
+
     /// Returns the time until the work is due; none is set for work that is late.
     pub fn remaining(&self, now: Time) -> Micros {
         if self.late {
--- a/crates/chervilring_core/src/runs/planner/candidates.rs
+++ b/crates/chervilring_core/src/runs/planner/candidates.rs
@@ -3,6 +3,7 @@
 use chervilring_wire::{Micros, Name, Resources, Time, UpstreamState};
 
 use super::choice::Candidate;
+use super::claims::is_room_short;
 use super::job::{Job, Step};
 use super::links::LinkNo;
 use super::state::Planner;
@@ -25,6 +26,11 @@
 }
 
 impl UpstreamSlot<'_> {
+    /// Returns whether room is short there for what is requested.
+    pub(super) fn is_short(&self) -> bool {
+        is_room_short(self.state, &self.requested)
+    }
+
     /// Returns the candidate for one task, which must not go to the upstream of the runner `avoid`.
     pub(super) fn candidate(&self, demand: &Resources, avoid: Option<&Name>) -> Candidate {
         let requested = self.requested.saturating_add(demand);
--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -22,6 +22,19 @@
         state_age: Micros,
         /// The number of tasks of the step that found no upstream.
         unplaced: u32,
+        /// Whether their room is claimed, and they start only once they are confirmed.
+        claimed: bool,
+    },
+    /// All tasks of a job have room, and start.
+    Confirmed {
+        /// The job.
+        job: JobId,
+        /// The number of confirmed runs.
+        runs: usize,
+        /// The number of runners that hold their room.
+        runners: usize,
+        /// How long the job had waited since its arrival.
+        waited: Micros,
     },
     /// A job was queued because its tasks found no capacity.
     Queued {
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -5,6 +5,7 @@
 use chervilring_wire::{JobId, Micros, Name, Resources, RunKey, Time};
 use rustc_hash::FxHashMap;
 
+use super::claims::Claim;
 use super::crashes::{CrashVerdict, Crashes};
 use super::links::LinkNo;
 use super::state::JobAnswer;
@@ -81,6 +82,8 @@
     pub(super) state: TaskState,
     /// The number of the latest attempt.
     pub(super) attempt: u32,
+    /// What the latest attempt has of its room.
+    pub(super) claim: Claim,
     /// The run time that the latest attempt is expected to take at speed one, where it was sent.
     pub(super) sent_runtime: Micros,
     /// The number of failed attempts.
--- a/crates/chervilring_core/src/runs/planner/messages.rs
+++ b/crates/chervilring_core/src/runs/planner/messages.rs
@@ -2,6 +2,7 @@
 
 use chervilring_wire::{PlannerMessage, RunnerMessage, Time, UpstreamState};
 
+use super::claims::Claim;
 use super::event::{LossCause, PlannerEvent};
 use super::links::LinkNo;
 use super::state::{Planner, PlannerStep};
@@ -70,6 +71,7 @@
                     if let Some(job) = self.jobs.get_mut(&seq) {
                         job.started_at.get_or_insert(now);
                         job.tasks[index].started_attempt = run.attempt;
+                        job.tasks[index].claim = Claim::None;
                     }
                     self.check_job(now, seq);
                 }
@@ -88,10 +90,8 @@
                 }
             }
             RunnerMessage::Progress(rows) => self.check_progress(now, &rows),
-            RunnerMessage::Claimed(_)
-            | RunnerMessage::Load(_)
-            | RunnerMessage::RunTimes(_)
-            | RunnerMessage::Doubts(_) => {}
+            RunnerMessage::Claimed(runs) => self.record_claims(now, link, &runs),
+            RunnerMessage::Load(_) | RunnerMessage::RunTimes(_) | RunnerMessage::Doubts(_) => {}
         }
     }
 
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod candidates;
 mod choice;
+mod claims;
 mod crashes;
 mod evacuation;
 mod event;
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -111,8 +111,13 @@
             }));
             self.runs.remove(&run);
             if let Some(job) = self.jobs.get_mut(&seq) {
-                job.started_at.get_or_insert(now);
-                job.tasks[index].state = TaskState::Waiting(runs_gone);
+                // A claim that was not confirmed has not started, and ends with its link.
+                let is_unconfirmed = job.tasks[index].is_unconfirmed();
+                let free_at = if is_unconfirmed { now } else { runs_gone };
+                job.tasks[index].state = TaskState::Waiting(free_at);
+                if !is_unconfirmed {
+                    job.started_at.get_or_insert(now);
+                }
             }
         }
         for (_, seq, _) in lost {
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -113,6 +113,7 @@
                 Choice::Place(index) => {
                     let placed = take_slot(&mut slots[index], demand, task, &mut placements);
                     placed.can_move &= can_move(&candidates, index, &times);
+                    placed.is_free &= candidates[index].queue_wait.0 == 0;
                 }
                 Choice::Wait => unplaced += 1,
             }
@@ -155,9 +156,13 @@
             declared_runtime: slot.declared_runtime,
             run_time: slot.run_time,
             can_move: true,
+            is_free: true,
+            is_short: false,
             tasks: Vec::new(),
         });
     }
-    placements[index].tasks.push(task);
-    &mut placements[index]
+    let placement = &mut placements[index];
+    placement.tasks.push(task);
+    placement.is_short |= slot.is_short();
+    placement
 }
--- a/crates/chervilring_core/src/runs/planner/sending.rs
+++ b/crates/chervilring_core/src/runs/planner/sending.rs
@@ -1,9 +1,11 @@
 //! The start messages for placed tasks.
 
 use chervilring_wire::{
-    Micros, Name, OrderedStart, PlannerMessage, QueuedRuns, Resources, RunKey, StartRuns, Time,
+    ClaimRuns, Micros, Name, OrderedStart, PlannerMessage, QueuedRuns, Resources, RunKey,
+    StartRuns, Time,
 };
 
+use super::claims::Claim;
 use super::event::PlannerEvent;
 use super::job::{Job, TaskState};
 use super::links::LinkNo;
@@ -19,6 +21,10 @@
     pub(super) run_time: Micros,
     /// Whether all its tasks are placed on free room, and could go elsewhere.
     pub(super) can_move: bool,
+    /// Whether all its tasks are placed on free room.
+    pub(super) is_free: bool,
+    /// Whether room is short there.
+    pub(super) is_short: bool,
     pub(super) tasks: Vec<usize>,
 }
 
@@ -32,6 +38,11 @@
         placements: Vec<Placement>,
         unplaced: u32,
     ) {
+        let is_claim = self.should_claim(seq, &placements, unplaced);
+        if !is_claim {
+            // What the job has claimed before goes with the runs that start without a claim.
+            self.confirm_claims(now, seq);
+        }
         let Some(job) = self.jobs.get_mut(&seq) else {
             return;
         };
@@ -44,11 +55,14 @@
             if let Some((_, at)) = &upstream.state {
                 state_age = state_age.max(now.duration_since(*at));
             }
-            let runs = mark_sent(job, now, &placement);
+            let runs = mark_sent(job, now, &placement, is_claim);
             let rows = runs.iter().copied().zip(placement.tasks.iter().copied());
             self.runs.extend(rows.map(|(run, task)| (run, (seq, task))));
             let knows_room = upstream.source.knows_room();
-            let queue_timeout = if knows_room {
+            let claim_wait = crate::runs::planner::claims::knob("CL_WAIT", 0);
+            let queue_timeout = if is_claim && claim_wait > 0 {
+                Micros::from_millis(claim_wait)
+            } else if knows_room {
                 job.queue_timeout(now, placement.run_time, placement.can_move)
             } else {
                 now.duration_until(job.latest_useful_start(now, placement.run_time))
@@ -69,7 +83,11 @@
                 queue_timeout,
                 runs,
             };
-            let message = if knows_room {
+            let message = if is_claim {
+                let start = OrderedStart { start, urgency };
+                let hold = job.hold(now);
+                PlannerMessage::Claim(ClaimRuns { start, hold })
+            } else if knows_room {
                 PlannerMessage::StartOrdered(OrderedStart { start, urgency })
             } else {
                 PlannerMessage::Start(start)
@@ -86,17 +104,23 @@
             waited: now.duration_since(job.arrived),
             state_age,
             unplaced,
+            claimed: is_claim,
         };
         self.steps.push(PlannerStep::Log(event));
     }
 }
 
 /// Marks the tasks of a placement as sent and returns their runs.
-fn mark_sent(job: &mut Job, now: Time, placement: &Placement) -> Vec<RunKey> {
+fn mark_sent(job: &mut Job, now: Time, placement: &Placement, is_claim: bool) -> Vec<RunKey> {
     let mut runs = Vec::with_capacity(placement.tasks.len());
     for &task in &placement.tasks {
         let row = &mut job.tasks[task];
         row.attempt += 1;
+        row.claim = if is_claim {
+            Claim::Requested
+        } else {
+            Claim::None
+        };
         row.sent_runtime = placement.declared_runtime;
         row.state = TaskState::Sent {
             link: placement.link,
--- a/crates/chervilring_core/src/runs/planner/settings.rs
+++ b/crates/chervilring_core/src/runs/planner/settings.rs
@@ -15,6 +15,8 @@
     pub resubmit_delay: Micros,
     /// The factor by which a task's run time grows outside the rack that holds its data.
     pub remote_factor: f64,
+    /// Whether the room of jobs of several tasks is claimed as a whole where it is short.
+    pub claims: bool,
 }
 
 /// A caller that is refused within this share of its objective still has time to retry elsewhere.
@@ -37,6 +39,7 @@
             retry_after: RETRY_AFTER,
             resubmit_delay: RESUBMIT_DELAY,
             remote_factor: REMOTE_FACTOR,
+            claims: true,
         }
     }
 }
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -8,6 +8,7 @@
 use rustc_hash::FxHashMap;
 
 use super::admission::{JobTimes, start_deadline};
+use super::claims::Claim;
 use super::event::PlannerEvent;
 use super::job::{Caller, Job, NewJob, PastJob, Task, TaskState};
 use super::links::LinkNo;
@@ -309,6 +310,7 @@
             index,
             state: TaskState::Waiting(now),
             attempt,
+            claim: Claim::None,
             sent_runtime,
             failures: 0,
             room_refusals: 0,
--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -5,6 +5,17 @@
 use super::call::CallRefusal;
 use crate::runs::evacuation::EvacuationSource;
 
+/// Why room is no longer held for a claim that was not confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimEnd {
+    /// Its planner gave it back, or the link to it was lost.
+    GivenBack,
+    /// Its deadline passed, or the upstream accepts no more runs.
+    RunOut,
+    /// This claim, which ranks before it, took over its room. It waits in the queue again.
+    TakenOver(RunKey),
+}
+
 /// A decision of the runner, or a change of what it knows, together with its cause.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunnerEvent {
@@ -26,6 +37,27 @@
         /// The free resources.
         free: Resources,
     },
+    /// Room is held for claimed runs until they are confirmed.
+    Claimed {
+        /// The first of the runs.
+        run: RunKey,
+        /// How many runs have room.
+        runs: u32,
+    },
+    /// A claimed run was confirmed.
+    ClaimConfirmed {
+        /// The run.
+        run: RunKey,
+        /// Whether it still had its room, so that it starts at once.
+        has_room: bool,
+    },
+    /// Room is no longer held for a claimed run that was not confirmed.
+    ClaimEnded {
+        /// The run.
+        run: RunKey,
+        /// Why it ended.
+        end: ClaimEnd,
+    },
     /// The upstream refused to start a run.
     NotStarted {
         /// The run.
--- a/crates/chervilring_core/src/runs/runner/incarnations.rs
+++ b/crates/chervilring_core/src/runs/runner/incarnations.rs
@@ -1,10 +1,10 @@
 //! Incarnations of the upstream, and what happens to runs when one ends.
 
-use chervilring_wire::{RunEnd, RunKey, Time};
+use chervilring_wire::{RefuseReason, RunEnd, RunKey, Time};
 
 use super::event::RunnerEvent;
 use super::record::UpstreamRecord;
-use super::state::{RunState, Runner, RunnerStep};
+use super::state::{Run, RunState, Runner, RunnerStep};
 use super::upstream::{Availability, Report, Upstream};
 use crate::runs::speed::Speed;
 
@@ -104,6 +104,12 @@
 
     /// Ends all runs of an incarnation that is gone.
     fn end_incarnation(&mut self, now: Time) {
+        let is_claim = |r: &Run| r.claim.is_some();
+        let rows = self.runs.iter().filter(|(_, r)| is_claim(r));
+        let claims: Vec<RunKey> = rows.map(|(run, _)| *run).collect();
+        for run in claims {
+            self.abandon_queued(now, run, RefuseReason::Closed);
+        }
         let runs: Vec<RunKey> = self.runs.keys().copied().collect();
         for run in runs {
             self.finish_run(now, run, RunEnd::Lapsed);
@@ -124,7 +130,7 @@
                 continue;
             };
             match row.state {
-                RunState::Queued => {}
+                RunState::Queued | RunState::Claimed(_) => {}
                 RunState::Starting if !row.stop_requested => {
                     row.maybe_started = true;
                     row.state = RunState::Unconfirmed(now);
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions of a runner: the final check of an upstream's capacity, its lease, and its runs.
 
 mod call;
+mod claims;
 mod dialer;
 mod evacuation;
 mod event;
@@ -23,7 +24,7 @@
     CallOutcome, CallRefusal, ListedEnd, ListedRun, RunLists, UpstreamCall, UpstreamIncarnation,
 };
 pub use dialer::{DialAction, Dialer, PLANNERS_PER_RUNNER};
-pub use event::RunnerEvent;
+pub use event::{ClaimEnd, RunnerEvent};
 pub use lease::Lease;
 pub use pace::{Progress, RunPace, expected_speed};
 pub use record::UpstreamRecord;
--- a/crates/chervilring_core/src/runs/runner/starts.rs
+++ b/crates/chervilring_core/src/runs/runner/starts.rs
@@ -5,6 +5,7 @@
 };
 
 use super::call::{CallOutcome, CallRefusal};
+use super::claims::Claim;
 use super::event::RunnerEvent;
 use super::pace::RunPace;
 use super::state::{Run, RunState, Runner, RunnerStep};
@@ -12,8 +13,15 @@
 use crate::runs::planner::LinkNo;
 
 impl Runner {
-    /// Accepts or refuses runs. Accepted runs start as soon as resources are free.
-    pub(super) fn accept_runs(&mut self, now: Time, link: LinkNo, ordered: OrderedStart) {
+    /// Accepts or refuses runs. Accepted runs start as soon as resources are free; claims then hold
+    /// them.
+    pub(super) fn accept_runs(
+        &mut self,
+        now: Time,
+        link: LinkNo,
+        ordered: OrderedStart,
+        claim: Option<Claim>,
+    ) {
         let OrderedStart { start, urgency } = ordered;
         let order = WorkOrder::new(now, &urgency);
         let Some(row) = self.links.get_mut(&link).filter(|l| l.hello_sent) else {
@@ -46,6 +54,7 @@
                 accepted: now,
                 start_deadline,
                 order,
+                claim,
                 retry_at: None,
             };
             self.runs.insert(run, row);
@@ -79,6 +88,7 @@
 
     /// Starts queued runs in their order, as far as resources are free.
     pub(super) fn start_queued(&mut self, now: Time) {
+        self.end_claims(now);
         let is_queued = |(run, row): (&RunKey, &Run)| {
             (row.state == RunState::Queued).then_some((row.order, *run))
         };
@@ -89,8 +99,9 @@
         order.sort_unstable();
         let open = self.is_accepting();
         let mut free = self.free_capacity();
+        let mut claimed: Vec<RunKey> = Vec::new();
         for (_, run) in order {
-            let Some(row) = self.runs.get_mut(&run) else {
+            let Some(row) = self.runs.get(&run) else {
                 continue;
             };
             if now > row.start_deadline || !open || row.stop_requested {
@@ -102,13 +113,24 @@
                 self.abandon_queued(now, run, reason);
                 continue;
             }
+            if !free.can_fit(&row.demand) {
+                free = self.take_over_room(run, free);
+            }
+            let Some(row) = self.runs.get_mut(&run) else {
+                continue;
+            };
             if !free.can_fit(&row.demand) {
                 continue;
             }
             free = free.saturating_sub(&row.demand);
-            row.state = RunState::Starting;
+            row.take_room(now);
+            if row.claim.is_some() {
+                claimed.push(run);
+                continue;
+            }
             self.call_start(now, run);
         }
+        self.report_claims(claimed);
     }
 
     /// Removes a run from the queue. If an earlier incarnation of the upstream may have started it,
@@ -138,7 +160,7 @@
     }
 
     /// Returns why no runs are accepted at all.
-    fn closed_refusal(&self) -> RefuseReason {
+    pub(super) fn closed_refusal(&self) -> RefuseReason {
         if self.is_evacuated() {
             RefuseReason::Evacuated
         } else {
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 
 use chervilring_wire::{
-    ConfigReplica, DomainName, Evacuations, Micros, Name, OrderedStart, PlannerMessage, QueuedRuns,
-    Resources, RunKey, RunnerMessage, Time,
+    ClaimRuns, ConfigReplica, DomainName, Evacuations, Micros, Name, OrderedStart, PlannerMessage,
+    QueuedRuns, Resources, RunKey, RunnerMessage, Time,
 };
 
 use super::call::{CallOutcome, UpstreamCall};
+use super::claims::Claim;
 use super::event::RunnerEvent;
 use super::links::Link;
 use super::pace::RunPace;
@@ -49,6 +50,8 @@
 pub(super) enum RunState {
     /// It waits for free resources.
     Queued,
+    /// Room is held for it until this deadline, unless it is confirmed before.
+    Claimed(Time),
     /// A start was sent to an earlier incarnation or to this one. Lists requested after this time
     /// show whether it runs.
     Unconfirmed(Time),
@@ -87,6 +90,8 @@
     pub(super) start_deadline: Time,
     /// Its place among the queued runs.
     pub(super) order: WorkOrder,
+    /// Set while it is a claim: it must not start before it is confirmed.
+    pub(super) claim: Option<Claim>,
     /// When to retry a call that got no answer, provided that the upstream answers again.
     pub(super) retry_at: Option<Time>,
 }
@@ -206,17 +211,20 @@
             }
             PlannerMessage::Start(start) => {
                 let urgency = unknown_urgency(start.queue_timeout);
-                self.accept_runs(now, link, OrderedStart { start, urgency });
+                self.accept_runs(now, link, OrderedStart { start, urgency }, None);
             }
-            PlannerMessage::StartOrdered(start) => self.accept_runs(now, link, start),
+            PlannerMessage::StartOrdered(start) => self.accept_runs(now, link, start, None),
+            PlannerMessage::Claim(ClaimRuns { start, hold }) => {
+                let priority = start.urgency.priority;
+                self.accept_runs(now, link, start, Some(Claim { hold, priority }));
+            }
+            PlannerMessage::Confirm(runs) => self.confirm_claims(now, link, runs),
             PlannerMessage::KnowsRoom => {
                 if let Some(row) = self.links.get_mut(&link) {
                     row.knows_room = true;
                 }
             }
-            PlannerMessage::Claim(_)
-            | PlannerMessage::Confirm(_)
-            | PlannerMessage::StoreRunTimes(_) => {}
+            PlannerMessage::StoreRunTimes(_) => {}
             PlannerMessage::Stop(runs) => {
                 for run in runs {
                     self.stop_run(now, run);
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -30,7 +30,7 @@
             return;
         };
         match row.state {
-            RunState::Queued => self.cancel_queued(now, run),
+            RunState::Queued | RunState::Claimed(_) => self.cancel_queued(now, run),
             RunState::Starting | RunState::Unconfirmed(_) => row.stop_requested = true,
             RunState::Running(_) => {
                 row.state = RunState::Stopping;
@@ -40,12 +40,19 @@
         }
     }
 
-    /// Refuses a run that is still queued. Any other run may have been started by the upstream.
+    /// Refuses a run that is still queued, or claimed and not confirmed. Any other run may have been started by the upstream.
     pub(super) fn cancel_queued(&mut self, now: Time, run: RunKey) {
         let is_queued = |r: &Run| r.state == RunState::Queued;
         if self.runs.get(&run).is_some_and(is_queued) {
             self.abandon_queued(now, run, RefuseReason::Stopped);
         }
+        if self
+            .runs
+            .get(&run)
+            .is_some_and(|r| r.claim_deadline().is_some())
+        {
+            self.return_claim(now, run);
+        }
     }
 
     pub(super) fn handle_stop_outcome(
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -27,6 +27,7 @@
     pub fn tick(&mut self, now: Time) {
         self.drop_silent_links(now);
         self.check_silence(now);
+        self.end_claims(now);
         self.check_lease(now);
         self.send_hellos(now);
         self.share_evacuations();
@@ -51,6 +52,10 @@
         if let Some(start_deadline) = queued.map(|r| r.start_deadline).min() {
             wake = wake.min(start_deadline + Micros(1));
         }
+        let claims = self.runs.values().filter_map(Run::claim_deadline);
+        if let Some(deadline) = claims.min() {
+            wake = wake.min(deadline + Micros(1));
+        }
         if let Some(upstream) = &self.upstream {
             if !upstream.poll_pending {
                 wake = wake.min(upstream.next_poll);
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -335,3 +335,47 @@
 fn without_capacity_accounting_an_upstream_exceeds_its_capacity() {
     assert!(found_without(Without::CapacityAccounting).contains("over its capacity"));
 }
+
+/// Runs a schedule in which two or more planners claim the same places: bursts of wide jobs whose
+/// tasks take whole upstreams, at the time of the faults.
+fn play_claims(seed: u64, without: Without) -> World {
+    let mut world = World::new(seed, 3, 4, without);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0xC1A1);
+    for burst in 0..rng.u64(10..40) {
+        let at = rng.u64(0..FAULTS);
+        for job in 0..rng.u64(2..5) {
+            let mut wide = test_job(10_000 + burst * 10 + job, rng.u32(2..5), 60);
+            wide.demand.cpu = [1_600, 4_000, 8_000][rng.usize(0..3)];
+            world.add_job(at + rng.u64(0..3_000), wide);
+        }
+    }
+    play_in(world, seed, without)
+}
+
+#[test]
+fn no_schedule_with_claims_violates_a_guarantee() {
+    let mut claims = (0, 0);
+    let found = schedules().find_map(|seed| {
+        let world = play_claims(seed, Without::Nothing);
+        claims = (claims.0 + world.claims.0, claims.1 + world.claims.1);
+        world.violations.first().map(|v| (seed, v.clone()))
+    });
+    assert_eq!(found, None);
+    assert!(
+        claims.0 > 0 && claims.1 > 0,
+        "{claims:?} claims and confirmations"
+    );
+}
+
+/// Runs one schedule with claims, as `one_schedule` does.
+#[test]
+fn one_schedule_with_claims() {
+    let world = play_claims(given_seed(), Without::Nothing);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn without_the_wait_for_confirmations_a_guarantee_is_violated() {
+    let found = first_violation(1..=400, |seed| play_claims(seed, Without::Confirmation));
+    assert!(found.is_some());
+}
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -65,6 +65,10 @@
     EvacuationReads,
     /// Whatever is heard last counts, however old it is.
     EvacuationOrder,
+    /// Planners send starts where they would claim room.
+    Claims,
+    /// Runners start claimed runs without waiting for the confirmation.
+    Confirmation,
     /// Runners do not guard the capacity: upstreams report more than they have.
     CapacityAccounting,
 }
@@ -159,6 +163,8 @@
     pub(crate) capacity_refusals: u32,
     /// The same by task.
     pub(crate) room_refusals: BTreeMap<TaskId, u32>,
+    /// The numbers of messages with claims and with confirmations.
+    pub(crate) claims: (u32, u32),
     /// The number of upstream states sent to planners.
     pub(crate) sent_states: u32,
     /// The number of links closed because they were not needed.
@@ -217,6 +223,7 @@
             starts: 0,
             capacity_refusals: 0,
             room_refusals: BTreeMap::new(),
+            claims: (0, 0),
             sent_states: 0,
             closed_links: 0,
             traced: std::env::var_os("CHERVILRING_TRACE").is_some(),
--- a/crates/chervilring_core/tests/runs/world/processes.rs
+++ b/crates/chervilring_core/tests/runs/world/processes.rs
@@ -27,6 +27,7 @@
         let seed = self.rng.u64(..);
         let settings = PlannerSettings {
             seed,
+            claims: self.without != Without::Claims,
             ..PlannerSettings::default()
         };
         let row = &mut self.planners[p];
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -4,7 +4,7 @@
 
 use chervilring_core::runs::planner::{PlannerEvent, PlannerStep};
 use chervilring_core::runs::runner::{CallOutcome, RunnerStep, UpstreamCall};
-use chervilring_wire::{RefuseReason, RunKey, RunnerMessage, Time};
+use chervilring_wire::{PlannerMessage, RefuseReason, RunKey, RunnerMessage, Time};
 
 use super::links::Packet;
 use super::{CALL_TIME, Event, NEAR, POLL_TIME, REPORT, TestJob, Without, World};
@@ -13,7 +13,17 @@
 impl World {
     pub(super) fn planner_step(&mut self, p: usize, step: PlannerStep) {
         match step {
-            PlannerStep::Send { link, message } => self.send(link.0, Packet::ToRunner(message)),
+            PlannerStep::Send { link, message } => {
+                self.claims.0 += u32::from(matches!(&message, PlannerMessage::Claim(_)));
+                self.claims.1 += u32::from(matches!(&message, PlannerMessage::Confirm(_)));
+                let message = match message {
+                    PlannerMessage::Claim(claim) if self.without == Without::Confirmation => {
+                        PlannerMessage::StartOrdered(claim.start)
+                    }
+                    message => message,
+                };
+                self.send(link.0, Packet::ToRunner(message));
+            }
             PlannerStep::Close(link) => {
                 self.send(link.0, Packet::EndAtRunner);
             }
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -14,10 +14,20 @@
             waited,
             state_age,
             unplaced,
+            claimed,
         } => {
             let runners: Vec<String> = runners.iter().map(|(n, k)| format!("{n}:{k}")).collect();
             info!(log, "placed"; "job" => %job, "runners" => runners.join(" "),
-                "waited_us" => waited.0, "state_age_us" => state_age.0, "left" => unplaced);
+                "waited_us" => waited.0, "state_age_us" => state_age.0, "left" => unplaced, "claimed" => claimed);
+        }
+        PlannerEvent::Confirmed {
+            job,
+            runs,
+            runners,
+            waited,
+        } => {
+            info!(log, "claims confirmed"; "job" => %job, "runs" => runs, "runners" => runners,
+                "waited_us" => waited.0);
         }
         PlannerEvent::Queued {
             job,
--- a/crates/chervilring_daemon/src/runs/planner_report.rs
+++ b/crates/chervilring_daemon/src/runs/planner_report.rs
@@ -23,6 +23,8 @@
     given_up: Counter<u64>,
     abandoned: Counter<u64>,
     met: Counter<u64>,
+    claimed: Counter<u64>,
+    confirmed: Counter<u64>,
     lost: Counter<u64>,
     crashes: Counter<u64>,
     links: Counter<u64>,
@@ -54,6 +56,8 @@
             given_up: metrics.counter("jobs_given_up", "Jobs given up after something had run"),
             abandoned: metrics.counter("jobs_abandoned", "Jobs whose callers left"),
             met: metrics.counter("jobs_in_time", "Jobs that were done within their objective"),
+            claimed: metrics.counter("placements_claimed", "Placements whose room was claimed"),
+            confirmed: metrics.counter("jobs_confirmed", "Jobs whose claims were confirmed"),
             lost: metrics.counter("runs_lost", "Runs that came to nothing"),
             crashes: metrics.counter("runs_crashed", "Runs under which their upstream crashed"),
             links: metrics.counter("links_lost", "Links to runners that were lost"),
@@ -75,6 +79,8 @@
                 let is_crash = *cause == LossCause::Ended(RunEnd::Lapsed);
                 self.crashes.add(u64::from(is_crash), &[]);
             }
+            PlannerEvent::Placed { claimed, .. } => self.claimed.add(u64::from(*claimed), &[]),
+            PlannerEvent::Confirmed { .. } => self.confirmed.add(1, &[]),
             PlannerEvent::Abandoned { .. } => self.abandoned.add(1, &[]),
             PlannerEvent::LinkDown { .. } => self.links.add(1, &[]),
             PlannerEvent::UpstreamEjected { .. } => self.out.add(1, &[]),
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chervilring_core::runs::runner::RunnerEvent;
+use chervilring_core::runs::runner::{ClaimEnd, RunnerEvent};
 use slog::{Logger, debug, info, warn};
 
 use super::told;
@@ -19,6 +19,18 @@
             info!(log, "run refused"; "job" => %run.job, "run" => %run, "reason" => ?reason,
                 "free_cpu" => free.cpu);
         }
+        RunnerEvent::Claimed { run, runs } => {
+            info!(log, "room held"; "job" => %run.job, "run" => %run, "runs" => runs);
+        }
+        RunnerEvent::ClaimConfirmed { run, has_room } => {
+            info!(log, "claim confirmed"; "job" => %run.job, "run" => %run, "has_room" => has_room);
+        }
+        RunnerEvent::ClaimEnded { run, end } => {
+            // Other ends are followed by the line of the run's refusal.
+            if let ClaimEnd::TakenOver(by) = end {
+                info!(log, "claim taken over"; "job" => %run.job, "run" => %run, "by" => %by);
+            }
+        }
         RunnerEvent::NotStarted { run, reason } => {
             info!(log, "run not started"; "job" => %run.job, "run" => %run, "why" => ?reason);
         }
--- a/crates/chervilring_daemon/src/runs/runner_report.rs
+++ b/crates/chervilring_daemon/src/runs/runner_report.rs
@@ -1,6 +1,6 @@
 //! The metrics of a runner.
 
-use chervilring_core::runs::runner::RunnerEvent;
+use chervilring_core::runs::runner::{ClaimEnd, RunnerEvent};
 use chervilring_wire::{RefuseReason, RunEnd};
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
@@ -15,6 +15,11 @@
     taken: Counter<u64>,
     refused: Counter<u64>,
     handed_back: Counter<u64>,
+    claimed: Counter<u64>,
+    confirmed: Counter<u64>,
+    given_back: Counter<u64>,
+    run_out: Counter<u64>,
+    taken_over: Counter<u64>,
     done: Counter<u64>,
     failed: Counter<u64>,
     stopped: Counter<u64>,
@@ -37,6 +42,17 @@
                 "runs_handed_back",
                 "Runs not started because their failure domain is evacuated",
             ),
+            claimed: metrics.counter("claims_held", "Claims for which room was held"),
+            confirmed: metrics.counter("claims_confirmed", "Claims that were confirmed"),
+            given_back: metrics.counter(
+                "claims_given_back",
+                "Claims given back by their planner, or lost with the link to it",
+            ),
+            run_out: metrics.counter("claims_run_out", "Claims not confirmed by their deadline"),
+            taken_over: metrics.counter(
+                "claims_taken_over",
+                "Claims whose room a claim took that ranks before them",
+            ),
             done: metrics.counter("runs_done", "Runs that were done"),
             failed: metrics.counter("runs_failed", "Runs that failed"),
             stopped: metrics.counter("runs_stopped", "Runs that were stopped"),
@@ -57,6 +73,16 @@
                 let is_evacuated = *reason == RefuseReason::Evacuated;
                 self.handed_back.add(u64::from(is_evacuated), &[]);
             }
+            RunnerEvent::Claimed { runs, .. } => self.claimed.add(u64::from(*runs), &[]),
+            RunnerEvent::ClaimConfirmed { .. } => self.confirmed.add(1, &[]),
+            RunnerEvent::ClaimEnded { end, .. } => {
+                let counter = match end {
+                    ClaimEnd::GivenBack => &self.given_back,
+                    ClaimEnd::RunOut => &self.run_out,
+                    ClaimEnd::TakenOver(_) => &self.taken_over,
+                };
+                counter.add(1, &[]);
+            }
             RunnerEvent::NotStarted { .. } => self.refused.add(1, &[]),
             RunnerEvent::NoAnswer { .. } => self.unanswered.add(1, &[]),
             RunnerEvent::LinkLost { .. } => self.lost.add(1, &[]),
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -367,6 +367,8 @@
     Twin,
     /// The failure domain of the upstream is evacuated.
     Evacuated,
+    /// The claim of its room was not confirmed in time. Sent only for claims.
+    Unconfirmed,
 }
 
 /// How a run ended. The variant names are written to the log.
