--- a/crates/chervilring_core/src/runs/planner/claims.rs
+++ b/crates/chervilring_core/src/runs/planner/claims.rs
@@ -72,7 +72,7 @@
 impl Planner {
     /// Returns whether the room of placements is claimed before they start: those of a job of several
     /// tasks that has not started, where room is short.
-    pub(super) fn should_claim(&self, seq: u64, placements: &[Placement], unplaced: u32) -> bool {
+    pub(super) fn should_claim(&self, now: Time, seq: u64, placements: &[Placement], unplaced: u32) -> bool {
         let Some(job) = self.jobs.get(&seq) else {
             return false;
         };
@@ -93,6 +93,10 @@
         if mode == 1 && !placements.iter().all(|p| p.is_free) {
             return false;
         }
+        let late = self.is_late_bound(now, job, placements) && knob("CL_LATE", 1) == 1;
+        if knob("CL_WHOLE", 0) == 0 && !late {
+            return false;
+        }
         is_whole && placements.iter().any(|p| p.is_short)
     }
 
@@ -108,6 +112,10 @@
             let Some(job) = self.jobs.get_mut(&seq) else {
                 continue;
             };
+            if job.is_late_bound && !job.cancelling && job.tasks[index].claim == Claim::Requested {
+                self.bind_task(now, link, *run);
+                continue;
+            }
             let task = &mut job.tasks[index];
             if task.claim == Claim::Requested {
                 task.claim = Claim::Held;
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -8,6 +8,7 @@
 use super::claims::Claim;
 use super::crashes::{CrashVerdict, Crashes};
 use super::links::LinkNo;
+use super::spares::Spare;
 use super::state::JobAnswer;
 use crate::runs::route::Route;
 
@@ -82,6 +83,10 @@
     pub(super) state: TaskState,
     /// The number of the latest attempt.
     pub(super) attempt: u32,
+    /// The highest number of an attempt so far, that of a spare claim included.
+    pub(super) last_attempt: u32,
+    /// The second claim, until one of both has room.
+    pub(super) spare: Option<Spare>,
     /// What the latest attempt has of its room.
     pub(super) claim: Claim,
     /// The run time that the latest attempt is expected to take at speed one, where it was sent.
@@ -128,6 +133,8 @@
     pub(super) work: Micros,
     /// When the first task is known to have started.
     pub(super) started_at: Option<Time>,
+    /// Whether each task starts as soon as one of its claims has room.
+    pub(super) is_late_bound: bool,
     /// Whether its queued runs are being cancelled. The job is refused once none of them can start.
     pub(super) cancelling: bool,
     pub(super) tasks: Vec<Task>,
@@ -156,7 +163,7 @@
     pub(super) fn past(&self, expires_at: Time) -> PastJob {
         let crashed = self.tasks.iter().filter(|t| t.crashes.all > 0);
         PastJob {
-            attempt: self.tasks.iter().map(|t| t.attempt).max().unwrap_or(0),
+            attempt: self.tasks.iter().map(|t| t.last_attempt).max().unwrap_or(0),
             crashes: crashed.map(|t| ((t.step, t.index), t.crashes)).collect(),
             expires_at,
         }
@@ -212,7 +219,9 @@
             TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => t.step == step && l == link,
             TaskState::Waiting(_) | TaskState::Done => false,
         };
-        self.tasks.iter().filter(here).count() as u32
+        let spares = self.spare_runs();
+        let spares = spares.filter(|(r, l)| r.step as usize == step && *l == link);
+        (self.tasks.iter().filter(here).count() + spares.count()) as u32
     }
 
     /// Returns when the job must be checked again even if no message arrives.
--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -157,7 +157,7 @@
 /// Returns the runs of a job that may be queued or running, by the link to their upstream.
 fn runs_by_link(job: &Job) -> BTreeMap<LinkNo, Vec<RunKey>> {
     let mut rows: BTreeMap<LinkNo, Vec<RunKey>> = BTreeMap::new();
-    for (run, link) in job.active_runs() {
+    for (run, link) in job.active_runs().chain(job.spare_runs()) {
         rows.entry(link).or_default().push(run);
     }
     rows
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -21,6 +21,7 @@
 mod run_ends;
 mod sending;
 mod settings;
+mod spares;
 mod state;
 mod straggler;
 mod upstream;
--- a/crates/chervilring_core/src/runs/planner/periodic.rs
+++ b/crates/chervilring_core/src/runs/planner/periodic.rs
@@ -91,6 +91,7 @@
         let Some(upstream) = self.links.remove(&link) else {
             return;
         };
+        self.drop_spares(link);
         let mut lost: Vec<(RunKey, u64, usize)> = Vec::new();
         for (&seq, job) in &self.jobs {
             let here = job.active_runs().filter(|(_, l)| *l == link);
@@ -109,6 +110,9 @@
                 runner: Some(upstream.name.clone()),
                 cause: LossCause::Link,
             }));
+            if self.drop_claim(now, run) {
+                continue;
+            }
             self.runs.remove(&run);
             if let Some(job) = self.jobs.get_mut(&seq) {
                 // A claim that was not confirmed has not started, and ends with its link.
@@ -128,7 +132,8 @@
 
     /// Closes a link that its runner no longer needs, unless it has active runs.
     pub(super) fn close_unneeded_link(&mut self, link: LinkNo) {
-        let mut active = self.jobs.values().flat_map(Job::active_runs);
+        let runs = |j: &'_ Job| j.active_runs().chain(j.spare_runs()).collect::<Vec<_>>();
+        let mut active = self.jobs.values().flat_map(runs);
         if active.any(|(_, l)| l == link) {
             return;
         }
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -53,6 +53,7 @@
             return unplaced;
         }
         self.send(now, seq, step, placements, unplaced);
+        self.claim_spares(now, seq, step);
         unplaced
     }
 
@@ -123,7 +124,7 @@
 }
 
 /// Returns the times that the tasks of a job must meet.
-fn task_times(now: Time, job: &Job) -> TaskTimes {
+pub(super) fn task_times(now: Time, job: &Job) -> TaskTimes {
     let job_started = job.started_at.is_some();
     TaskTimes {
         now,
@@ -139,7 +140,7 @@
 }
 
 /// Adds a task to the placement on an upstream, which has less room from then on. Returns the placement.
-fn take_slot<'p>(
+pub(super) fn take_slot<'p>(
     slot: &mut UpstreamSlot<'_>,
     demand: &Resources,
     task: usize,
--- a/crates/chervilring_core/src/runs/planner/run_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/run_ends.rs
@@ -16,10 +16,7 @@
     pub(super) fn was_sent_over(&self, run: &RunKey, link: LinkNo) -> bool {
         let place = self.runs.get(run);
         let task = place.and_then(|(seq, index)| self.jobs.get(seq)?.tasks.get(*index));
-        task.is_some_and(|t| match t.state {
-            TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => l == link,
-            TaskState::Waiting(_) | TaskState::Done => false,
-        })
+        task.is_some_and(|t| t.has_run(run.attempt, link))
     }
 
     pub(super) fn decrement_runs(&mut self, link: LinkNo) {
@@ -84,6 +81,9 @@
         let Some((seq, index)) = self.runs.get(&run).copied() else {
             return;
         };
+        if self.drop_claim(now, run) {
+            return;
+        }
         self.log_lost(run, cause);
         self.runs.remove(&run);
         if let Some(job) = self.jobs.get_mut(&seq) {
--- a/crates/chervilring_core/src/runs/planner/sending.rs
+++ b/crates/chervilring_core/src/runs/planner/sending.rs
@@ -38,66 +38,37 @@
         placements: Vec<Placement>,
         unplaced: u32,
     ) {
-        let is_claim = self.should_claim(seq, &placements, unplaced);
-        if !is_claim {
-            // What the job has claimed before goes with the runs that start without a claim.
-            self.confirm_claims(now, seq);
-        }
+        let is_claim = self.should_claim(now, seq, &placements, unplaced);
+        let late_bound = |job: &Job| is_claim && self.is_late_bound(now, job, &placements) && super::claims::knob("CL_LATE", 1) == 1;
+        let is_late_bound = self.jobs.get(&seq).is_some_and(late_bound);
         let Some(job) = self.jobs.get_mut(&seq) else {
             return;
         };
+        job.is_late_bound |= is_late_bound;
+        if !is_claim && !job.is_late_bound {
+            // What the job has claimed before goes with the runs that start without a claim.
+            self.confirm_claims(now, seq);
+        }
         let mut state_age = Micros::default();
         let mut runners = Vec::with_capacity(placements.len());
         for placement in placements {
-            let Some(upstream) = self.links.get_mut(&placement.link) else {
+            let Some(upstream) = self.links.get(&placement.link) else {
                 continue;
             };
             if let Some((_, at)) = &upstream.state {
                 state_age = state_age.max(now.duration_since(*at));
             }
-            let runs = mark_sent(job, now, &placement, is_claim);
-            let rows = runs.iter().copied().zip(placement.tasks.iter().copied());
-            self.runs.extend(rows.map(|(run, task)| (run, (seq, task))));
-            let knows_room = upstream.source.knows_room();
-            let claim_wait = crate::runs::planner::claims::knob("CL_WAIT", 0);
-            let queue_timeout = if is_claim && claim_wait > 0 {
-                Micros::from_millis(claim_wait)
-            } else if knows_room {
-                job.queue_timeout(now, placement.run_time, placement.can_move)
-            } else {
-                now.duration_until(job.latest_useful_start(now, placement.run_time))
-            };
-            let row = &job.submission.steps[step];
-            let urgency = job.urgency(now, placement.run_time);
-            let queued = QueuedRuns {
-                queue_timeout: upstream.remaining(now, job, placement.run_time),
-                demand: total(&row.demand, runs.len()),
+            let Some(job) = self.jobs.get_mut(&seq) else {
+                return;
             };
+            let runs = mark_sent(job, now, &placement, is_claim);
             let count = runs.len() as u32;
-            let start = StartRuns {
-                seq: upstream.record_start(queued, count),
-                service: job.submission.route.service.clone(),
-                spec: job.submission.spec.clone(),
-                demand: row.demand,
-                declared_runtime: placement.declared_runtime,
-                queue_timeout,
-                runs,
-            };
-            let message = if is_claim {
-                let start = OrderedStart { start, urgency };
-                let hold = job.hold(now);
-                PlannerMessage::Claim(ClaimRuns { start, hold })
-            } else if knows_room {
-                PlannerMessage::StartOrdered(OrderedStart { start, urgency })
-            } else {
-                PlannerMessage::Start(start)
-            };
-            self.steps.push(PlannerStep::Send {
-                link: placement.link,
-                message,
-            });
+            self.send_runs(now, (seq, step), &placement, runs, is_claim);
             runners.push((placement.name, count));
         }
+        let Some(job) = self.jobs.get(&seq) else {
+            return;
+        };
         let event = PlannerEvent::Placed {
             job: job.submission.id,
             runners,
@@ -108,6 +79,58 @@
         };
         self.steps.push(PlannerStep::Log(event));
     }
+
+    /// Sends runs of a step of a job to an upstream, to start or to claim their room.
+    pub(super) fn send_runs(
+        &mut self,
+        now: Time,
+        (seq, step): (u64, usize),
+        placement: &Placement,
+        runs: Vec<RunKey>,
+        is_claim: bool,
+    ) {
+        let Some(job) = self.jobs.get(&seq) else {
+            return;
+        };
+        let Some(upstream) = self.links.get_mut(&placement.link) else {
+            return;
+        };
+        let rows = runs.iter().copied().zip(placement.tasks.iter().copied());
+        self.runs.extend(rows.map(|(run, task)| (run, (seq, task))));
+        let knows_room = upstream.source.knows_room();
+        let can_move = placement.can_move && !job.is_late_bound;
+        let queue_timeout = if knows_room {
+            job.queue_timeout(now, placement.run_time, can_move)
+        } else {
+            now.duration_until(job.latest_useful_start(now, placement.run_time))
+        };
+        let row = &job.submission.steps[step];
+        let urgency = job.urgency(now, placement.run_time);
+        let queued = QueuedRuns {
+            queue_timeout: upstream.remaining(now, job, placement.run_time),
+            demand: total(&row.demand, runs.len()),
+        };
+        let start = StartRuns {
+            seq: upstream.record_start(queued, runs.len() as u32),
+            service: job.submission.route.service.clone(),
+            spec: job.submission.spec.clone(),
+            demand: row.demand,
+            declared_runtime: placement.declared_runtime,
+            queue_timeout,
+            runs,
+        };
+        let message = if is_claim {
+            let start = OrderedStart { start, urgency };
+            let hold = job.hold(now);
+            PlannerMessage::Claim(ClaimRuns { start, hold })
+        } else if knows_room {
+            PlannerMessage::StartOrdered(OrderedStart { start, urgency })
+        } else {
+            PlannerMessage::Start(start)
+        };
+        let link = placement.link;
+        self.steps.push(PlannerStep::Send { link, message });
+    }
 }
 
 /// Marks the tasks of a placement as sent and returns their runs.
@@ -115,7 +138,9 @@
     let mut runs = Vec::with_capacity(placement.tasks.len());
     for &task in &placement.tasks {
         let row = &mut job.tasks[task];
-        row.attempt += 1;
+        row.last_attempt += 1;
+        row.attempt = row.last_attempt;
+        row.spare = None;
         row.claim = if is_claim {
             Claim::Requested
         } else {
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -185,6 +185,7 @@
             last_placement: now,
             last_checked: now,
             sent_runs: 0,
+            is_late_bound: false,
             cancelling: false,
         };
         self.jobs.insert(seq, job);
@@ -310,6 +311,8 @@
             index,
             state: TaskState::Waiting(now),
             attempt,
+            last_attempt: attempt,
+            spare: None,
             claim: Claim::None,
             sent_runtime,
             failures: 0,
--- a/crates/chervilring_core/tests/runs/claims.rs
+++ b/crates/chervilring_core/tests/runs/claims.rs
@@ -44,8 +44,16 @@
 
 /// Wide short jobs beside narrow longer ones, more than there is room for. Returns both kinds.
 fn overload(world: &mut World) -> (Vec<usize>, Vec<usize>) {
-    let wide = load(world, std::env::var("LW").map_or(50, |t| t.parse().unwrap()), |id| test_job(id, 6, 60));
-    let narrow = load(world, std::env::var("LN").map_or(55, |t| t.parse().unwrap()), |id| test_job(id, 2, 200));
+    let wide = load(
+        world,
+        std::env::var("LW").map_or(50, |t| t.parse().unwrap()),
+        |id| test_job(id, 6, 60),
+    );
+    let narrow = load(
+        world,
+        std::env::var("LN").map_or(55, |t| t.parse().unwrap()),
+        |id| test_job(id, 2, 200),
+    );
     world.run(LOAD + 5_000_000);
     (wide, narrow)
 }
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -12,6 +12,7 @@
 mod remote;
 mod replicas;
 mod restarts;
+mod scarcity;
 mod schedules;
 mod slowdown;
 mod unfit;
--- a/crates/chervilring_core/tests/runs/world/callers.rs
+++ b/crates/chervilring_core/tests/runs/world/callers.rs
@@ -20,6 +20,8 @@
     /// Whether the caller states its remaining time when it resubmits the job.
     pub(crate) states_remaining: bool,
     pub(crate) demand: Resources,
+    /// The priority of its route.
+    pub(crate) priority: u32,
     /// The planner and the caller id of the submission that waits for an answer.
     pub(crate) pending: Option<(usize, Caller)>,
     pub(crate) submitted_at: Time,
@@ -138,7 +140,10 @@
 pub(super) fn new_job(job: &TestJob, now: Time) -> NewJob {
     NewJob {
         id: JobId(job.id),
-        route: route(),
+        route: Arc::new(Route {
+            priority: job.priority,
+            ..Route::clone(&route())
+        }),
         config_version: 1,
         spec: "x".into(),
         request: "".into(),
@@ -167,6 +172,7 @@
             memory: 64,
             gpu: 0,
         },
+        priority: 0,
         pending: None,
         submitted_at: Time::default(),
         answers: Vec::new(),
