Planners: what is the same for all upstreams is worked out once, and the link of a task and the processors of a service in one place

Cause: found when reading the change. The factor of a route's run times was looked up for each upstream of each placement; the processors of a service were summed in two places, and the link of a task read off its state in three.

The 180 tests of `tests/runs` pass.

--- a/crates/chervilring_core/src/runs/planner/candidates.rs
+++ b/crates/chervilring_core/src/runs/planner/candidates.rs
@@ -52,11 +52,14 @@
     pub(super) fn slots<'a>(&'a self, now: Time, job: &Job, step: usize) -> Vec<UpstreamSlot<'a>> {
         let service = job.submission.route.service.as_str();
         let accepting = self.links.iter().filter(|(_, u)| u.accepts(service));
-        let slot = |(&link, upstream)| self.slot(now, job, step, link, upstream);
+        let route = &job.submission.route;
+        let factor = self.run_times.factor(&route.name, &route.service);
+        let slot = |(&link, upstream)| self.slot(now, job, step, link, upstream, factor);
         accepting.filter_map(slot).collect()
     }
 
-    /// Returns an upstream as a place for tasks of a step, unless it could never run one.
+    /// Returns an upstream as a place for tasks of a step, unless it could never run one. `factor` is
+    /// the learned one from declared run times to expected ones.
     fn slot<'a>(
         &'a self,
         now: Time,
@@ -64,6 +67,7 @@
         step: usize,
         link: LinkNo,
         upstream: &'a Upstream,
+        factor: f64,
     ) -> Option<UpstreamSlot<'a>> {
         let row = &job.submission.steps[step];
         let (state, _) = upstream.state.as_ref()?;
@@ -71,8 +75,6 @@
             return None;
         }
         let declared_runtime = self.runtime_at(row, state);
-        let route = &job.submission.route;
-        let factor = self.run_times.factor(&route.name, &route.service);
         let run_time = upstream.expected_run(declared_runtime, factor);
         let remaining = upstream.remaining(now, job, run_time);
         Some(UpstreamSlot {
--- a/crates/chervilring_core/src/runs/planner/claims.rs
+++ b/crates/chervilring_core/src/runs/planner/claims.rs
@@ -48,10 +48,7 @@
             let spare = self.spare.filter(|s| s.attempt == attempt);
             return spare.is_some_and(|s| s.link == link);
         }
-        match self.state {
-            TaskState::Sent { link: l, .. } | TaskState::Stopping(l) => l == link,
-            TaskState::Waiting(_) | TaskState::Done => false,
-        }
+        self.sent_link() == Some(link)
     }
 
     /// Makes the spare claim the claim of the task. Returns whether there was one.
--- a/crates/chervilring_core/src/runs/planner/order.rs
+++ b/crates/chervilring_core/src/runs/planner/order.rs
@@ -39,11 +39,15 @@
     /// Returns how long a job would keep all processors busy that accept its runs: the delay that it
     /// imposes on the work behind it. Zero as long as none does.
     pub(super) fn relative_work(&self, submission: &NewJob) -> Micros {
-        let service = submission.route.service.as_str();
-        let accepting = self.links.values().filter(|u| u.accepts(service));
-        let states = accepting.filter_map(|u| u.state.as_ref());
-        let total_cpu: u64 = states.map(|(s, _)| s.capacity.cpu).sum();
+        let total_cpu = self.total_cpu(submission.route.service.as_str());
         let time = submission.work().checked_div(total_cpu);
         Micros(time.unwrap_or_default())
     }
+
+    /// Returns the processors of all upstreams that accept runs of a service, in thousandths of a core.
+    pub(super) fn total_cpu(&self, service: &str) -> u64 {
+        let accepting = self.links.values().filter(|u| u.accepts(service));
+        let states = accepting.filter_map(|u| u.state.as_ref());
+        states.map(|(s, _)| s.capacity.cpu).sum()
+    }
 }
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -77,11 +77,8 @@
         let Some(job) = self.jobs.get(&seq) else {
             return false;
         };
-        let service = job.submission.route.service.as_str();
         let row = &job.submission.steps[step];
-        let accepting = self.links.values().filter(|u| u.accepts(service));
-        let states = accepting.filter_map(|u| u.state.as_ref());
-        let total_cpu: u64 = states.map(|(s, _)| s.capacity.cpu).sum();
+        let total_cpu = self.total_cpu(job.submission.route.service.as_str());
         (row.demand.cpu * u64::from(row.count)) as f64 > total_cpu as f64 * WIDE_SHARE
     }
 
--- a/crates/chervilring_core/src/runs/planner/run_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/run_ends.rs
@@ -142,12 +142,10 @@
     }
 
     fn log_lost(&mut self, run: RunKey, cause: LossCause) {
-        let link = self.runs.get(&run).and_then(|(seq, index)| {
-            match self.jobs.get(seq)?.tasks[*index].state {
-                TaskState::Sent { link, .. } | TaskState::Stopping(link) => Some(link),
-                TaskState::Waiting(_) | TaskState::Done => None,
-            }
-        });
+        let link = self
+            .runs
+            .get(&run)
+            .and_then(|(seq, index)| self.jobs.get(seq)?.tasks[*index].sent_link());
         let upstream = link.and_then(|l| self.links.get(&l));
         let runner = upstream.map(|u| u.name.clone());
         let event = PlannerEvent::RunLost { run, runner, cause };
