--- a/review/stand-in/deployment.rs
+++ b/review/stand-in/deployment.rs
@@ -142,6 +142,7 @@
                 labels: labels.iter().map(|&l| l.to_owned()).collect(),
                 app: SocketAddr::new(process.ip, APP),
                 beats: SocketAddr::new(process.ip, CONTROL),
+                silent: Duration::ZERO,
                 behind_ms: 0,
             });
             this.runners.push(process);
@@ -200,6 +201,11 @@
         self.record.write(&text);
     }
 
+    /// Has a worker wait before its first heartbeat, from its next life on.
+    pub fn set_silent(&mut self, place: usize, silent: Duration) {
+        self.kinds[place].silent = silent;
+    }
+
     /// Has a worker be of another kind from its next life on.
     pub fn set_labels(&mut self, place: usize, labels: &[&str]) {
         self.kinds[place].labels = labels.iter().map(|&l| l.to_owned()).collect();
@@ -275,6 +281,18 @@
     }
 }
 
+impl Process {
+    /// Kills the process.
+    pub fn kill(&mut self, record: &Record) {
+        if let Some(mut child) = self.child.take() {
+            record.write(&format!("{} is killed", self.name));
+            // A process that has ended by itself is gone all the same.
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod label;
+mod lease;
 mod record;
 mod store;
 mod worker;
@@ -54,6 +55,7 @@
     let verdict = match name {
         "config" => config::play(&record, trouble),
         "born" => born::play(&record, trouble),
+        "lease" => lease::play(&record, trouble),
         "label" => label::play(&record, trouble),
         "cancel-elsewhere" => cancel::elsewhere(&record, trouble),
         "cancel-dropped-route" => cancel::dropped_route(&record, trouble),
--- a/review/stand-in/worker.rs
+++ b/review/stand-in/worker.rs
@@ -33,6 +33,8 @@
     pub app: SocketAddr,
     /// The `control_plane` address on its machine.
     pub beats: SocketAddr,
+    /// The time from its start to its first heartbeat.
+    pub silent: Duration,
     /// How far the time of day on its machine is behind the true one, in milliseconds.
     pub behind_ms: u64,
 }
@@ -126,6 +128,9 @@
         state.alive = false;
         let active: Vec<String> = state.active.keys().cloned().collect();
         state.active.clear();
+        for task in &active {
+            self.shared.record.add_end(&self.shared.kind.id, task);
+        }
         drop(state);
         let id = &self.shared.kind.id;
         self.shared
@@ -184,6 +189,7 @@
             let over: Vec<(String, u64, &'static str)> = over.collect();
             for (task, attempt, how) in over {
                 state.active.remove(&task);
+                self.record.add_end(&self.kind.id, &task);
                 state.end(task.clone(), attempt, how);
                 let id = &self.kind.id;
                 let text = format!("worker {id}: {task} run {attempt} ends {how}");
@@ -195,6 +201,7 @@
 
     /// Sends heartbeats for as long as the life lasts.
     fn beat(&self) {
+        thread::sleep(self.kind.silent);
         while self.lock().alive {
             // A runner that is not there yet is told again.
             let taken = self.beat_once();
@@ -310,11 +317,14 @@
             self.kind.labels
         ));
         let began = Instant::now();
-        self.record.add_start(Start {
-            task: task.clone(),
-            attempt,
-            labels: self.kind.labels.clone(),
-        });
+        self.record.add_start(
+            id,
+            Start {
+                task: task.clone(),
+                attempt,
+                labels: self.kind.labels.clone(),
+            },
+        );
         let run = Run {
             attempt,
             began,
