--- a/review/stand-in/born.rs
+++ b/review/stand-in/born.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use crate::Verdict;
-use crate::deployment::{Deployment, Failure, Plan, SMALL_BOUNDS, ask, config, job, route};
+use crate::deployment::{
+    Deployment, FIRST_KIND, Failure, Plan, SMALL_BOUNDS, ask, config, job, route,
+};
 use crate::record::Record;
 
 /// Half the period of `srv_flap`: how long the worker is down, and up between.
@@ -27,8 +29,6 @@
 /// drains.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
     let plan = Plan {
-        planners: 3,
-        workers: vec![vec!["a", "r1-0"], vec!["a", "r1-1"], vec!["a", "r1-2"]],
         config: config(10, &[route("main", "/main/", 1_500)]),
         link: None,
         bounds: SMALL_BOUNDS,
@@ -78,7 +78,7 @@
     for number in after + 1..=after + JOBS {
         let planner = deployment.planners[number as usize % deployment.planners.len()].frontend();
         let path = format!("/main/{number:016x}");
-        let body = job(1, 60, ",\"required_label\":\"r1-0\"");
+        let body = job(1, 60, &format!(",\"required_label\":\"{FIRST_KIND}\""));
         ask(
             record,
             planner,
--- a/review/stand-in/config.rs
+++ b/review/stand-in/config.rs
@@ -25,8 +25,6 @@
 /// A zone is evacuated, and half a second later a configuration replaces a route.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
     let plan = Plan {
-        planners: 3,
-        workers: vec![vec!["a", "r1-0"], vec!["a", "r1-1"], vec!["a", "r1-2"]],
         config: document(10, "/old/"),
         link: Some(LINK),
         bounds: GROWN_BOUNDS,
--- a/review/stand-in/deployment.rs
+++ b/review/stand-in/deployment.rs
@@ -34,11 +34,19 @@
 /// The longest time for which a deployment may not serve after its start.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// The planners and the workers, each with its runner: as many as the smallest site has.
+const PLANNERS: u8 = 3;
+const WORKERS: usize = 11;
+
+/// The workers in a rack.
+const RACK: usize = 3;
+
+/// The kind of the first worker, and that of all others.
+pub const FIRST_KIND: &str = "b";
+pub const OTHER_KIND: &str = "a";
+
 /// How a deployment is set up.
 pub struct Plan {
-    pub planners: u8,
-    /// The labels of the worker beside each runner.
-    pub workers: Vec<Vec<&'static str>>,
     /// The first configuration.
     pub config: String,
     /// The bytes a second between the store and a machine.
@@ -107,11 +115,11 @@
             kinds: Vec::new(),
             folder,
         };
-        let seeds: Vec<String> = (0..plan.planners.min(3))
+        let seeds: Vec<String> = (0..PLANNERS)
             .map(|p| format!("\"{}:{CONTROL}\"", net.ip(10 + p)))
             .collect();
         let seeds = seeds.join(",");
-        for place in 0..plan.planners {
+        for place in 0..PLANNERS {
             let name = format!("edge-{place}");
             let settings = Settings {
                 ip: net.ip(10 + place),
@@ -124,7 +132,7 @@
             let process = this.process("planner", &settings, &settings.planner())?;
             this.planners.push(process);
         }
-        for (place, labels) in plan.workers.iter().enumerate() {
+        for place in 0..WORKERS {
             let name = format!("side-{place}");
             let settings = Settings {
                 ip: net.ip(50 + place as u8),
@@ -139,7 +147,7 @@
                 id: format!("i-{place:08x}"),
                 service: SERVICE.into(),
                 zone: settings.zone.into(),
-                labels: labels.iter().map(|&l| l.to_owned()).collect(),
+                labels: labels_of(place),
                 app: SocketAddr::new(process.ip, APP),
                 beats: SocketAddr::new(process.ip, CONTROL),
                 silent: Duration::ZERO,
@@ -207,8 +215,8 @@
     }
 
     /// Has a worker be of another kind from its next life on.
-    pub fn set_labels(&mut self, place: usize, labels: &[&str]) {
-        self.kinds[place].labels = labels.iter().map(|&l| l.to_owned()).collect();
+    pub fn set_kind(&mut self, place: usize, kind: &str) {
+        self.kinds[place].labels[0] = kind.to_owned();
     }
 
     /// Starts a worker again under its id and address.
@@ -330,6 +338,12 @@
     }
 }
 
+/// Returns the kind of a worker and its rack.
+fn labels_of(place: usize) -> Vec<String> {
+    let kind = if place == 0 { FIRST_KIND } else { OTHER_KIND };
+    vec![kind.to_owned(), format!("r1-{}", place / RACK)]
+}
+
 /// Loopback addresses that nobody else uses.
 struct Net {
     second: u8,
--- a/review/stand-in/label.rs
+++ b/review/stand-in/label.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::deployment::{Deployment, Failure, Plan, SMALL_BOUNDS, ask, config, job, route};
+use crate::deployment::{
+    Deployment, FIRST_KIND, Failure, OTHER_KIND, Plan, SMALL_BOUNDS, ask, config, job, route,
+};
 use crate::record::Record;
 
 /// How often the worker crashes.
@@ -20,8 +22,6 @@
 /// back as kind `a`.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
     let plan = Plan {
-        planners: 3,
-        workers: vec![vec!["b", "r1-0"], vec!["a", "r1-1"], vec!["a", "r1-2"]],
         config: config(10, &[route("main", "/main/", 1_500)]),
         link: None,
         bounds: SMALL_BOUNDS,
@@ -37,14 +37,14 @@
         let planner = deployment.planners[0].frontend();
         let (path, body) = (
             format!("/main/{id}"),
-            job(1, 900, ",\"required_label\":\"b\""),
+            job(1, 900, &format!(",\"required_label\":\"{FIRST_KIND}\"")),
         );
         let own = record.clone();
         let wait = Duration::from_millis(1_500);
         let client = thread::spawn(move || ask(&own, planner, "POST", &path, &body, wait));
         thread::sleep(DOWN - TO_JOB);
         if trouble {
-            deployment.set_labels(0, &["a", "r1-0"]);
+            deployment.set_kind(0, OTHER_KIND);
             deployment.restart(0)?;
         }
         client.join().map_err(|_| "the client panicked")?;
@@ -52,14 +52,14 @@
         wrong.extend(
             starts
                 .into_iter()
-                .filter(|s| !s.labels.iter().any(|l| l == "b")),
+                .filter(|s| !s.labels.iter().any(|l| l == FIRST_KIND)),
         );
         // The worker becomes one of kind b again for the next round.
         if trouble {
             thread::sleep(Duration::from_secs(2));
             deployment.crash(0);
             thread::sleep(Duration::from_secs(2));
-            deployment.set_labels(0, &["b", "r1-0"]);
+            deployment.set_kind(0, FIRST_KIND);
             deployment.restart(0)?;
             thread::sleep(Duration::from_secs(4));
         }
--- a/review/stand-in/lease.rs
+++ b/review/stand-in/lease.rs
@@ -13,7 +13,7 @@
 /// The time from its start to its first heartbeat.
 const SILENT: Duration = Duration::from_millis(90);
 
-/// The time from that heartbeat to the client's job, and from there to the end of the runner.
+/// The time from that heartbeat to the clients' jobs, and from there to the end of the runner.
 const TO_JOB: Duration = Duration::from_millis(40);
 const TO_KILL: Duration = Duration::from_millis(100);
 
@@ -23,17 +23,20 @@
 /// How long clients wait.
 const WAIT: Duration = Duration::from_millis(3_000);
 
+/// The jobs before the crash and after it, and the tasks of each.
+const FIRST_JOBS: u64 = 3;
+const SECOND_JOBS: u64 = 8;
+const TASKS: u32 = 8;
+
 /// How often this is played.
 const ROUNDS: u64 = 5;
 
 /// An overlap below this may be one of the stand-ins' threads only.
 const LEAST: Duration = Duration::from_millis(20);
 
-/// The worker crashes under its runs and is back at once; a job begins there, and the runner is killed.
+/// The worker crashes under its runs and is back at once; jobs begin there, and the runner is killed.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
     let plan = Plan {
-        planners: 3,
-        workers: vec![vec!["a", "r1-0"], vec!["a", "r1-1"], vec!["a", "r1-2"]],
         config: config(10, &[route("main", "/main/", 3_000)]),
         link: None,
         bounds: SMALL_BOUNDS,
@@ -41,7 +44,7 @@
     let mut deployment = Deployment::start(&plan, record)?;
     deployment.set_silent(0, SILENT);
     for round in 1..=ROUNDS {
-        let first = send(record, &deployment, 2 * round, 6);
+        let first = send(record, &deployment, 100 * round, FIRST_JOBS);
         thread::sleep(Duration::from_millis(300));
         if trouble {
             deployment.crash(0);
@@ -51,12 +54,12 @@
             deployment.restart(0)?;
         }
         thread::sleep(SILENT + TO_JOB);
-        let second = send(record, &deployment, 2 * round + 1, 16);
+        let second = send(record, &deployment, 100 * round + 50, SECOND_JOBS);
         thread::sleep(TO_KILL);
         deployment.runners[0].kill(record);
         thread::sleep(RUNNER_DOWN);
         deployment.runners[0].start(record)?;
-        for client in [first, second] {
+        for client in first.into_iter().chain(second) {
             client.join().map_err(|_| "a client panicked")?;
         }
         thread::sleep(Duration::from_secs(5));
@@ -74,18 +77,28 @@
     )))
 }
 
-/// Sends a job of tasks of a second on a thread of its own.
+/// Sends jobs of tasks of a second, each on a thread of its own.
 fn send(
     record: &Record,
     deployment: &Deployment,
-    number: u64,
-    tasks: u32,
-) -> thread::JoinHandle<()> {
-    let planner = deployment.planners[1].frontend();
-    let record = record.clone();
-    thread::spawn(move || {
-        let path = format!("/main/{number:016x}");
-        let body = job(tasks, 1_000, "");
-        ask(&record, planner, "POST", &path, &body, WAIT);
-    })
+    first: u64,
+    jobs: u64,
+) -> Vec<thread::JoinHandle<()>> {
+    let client = |number: u64| {
+        let place = number as usize % deployment.planners.len();
+        let planner = deployment.planners[place].frontend();
+        let record = record.clone();
+        thread::spawn(move || {
+            let path = format!("/main/{number:016x}");
+            ask(
+                &record,
+                planner,
+                "POST",
+                &path,
+                &job(TASKS, 1_000, ""),
+                WAIT,
+            );
+        })
+    };
+    (first..first + jobs).map(client).collect()
 }
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -57,9 +57,7 @@
         "born" => born::play(&record, trouble),
         "lease" => lease::play(&record, trouble),
         "label" => label::play(&record, trouble),
-        "cancel-elsewhere" => cancel::elsewhere(&record, trouble),
-        "cancel-dropped-route" => cancel::dropped_route(&record, trouble),
-        "cancel-resent" => cancel::resent(&record, trouble),
+        "cancel" => cancel::play(&record, trouble),
         _ => Err(format!("there is no case {name}").into()),
     };
     match &verdict {
