--- a/review/stand-in/config.rs
+++ b/review/stand-in/config.rs
@@ -20,7 +20,7 @@
 const APPLY: Duration = Duration::from_millis(3_000);
 
 /// How long the planners are asked from then on.
-const ASKED: Duration = Duration::from_secs(20);
+const ASKED: Duration = Duration::from_secs(50);
 
 /// A zone is evacuated, and half a second later a configuration replaces a route.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
--- a/review/stand-in/store.rs
+++ b/review/stand-in/store.rs
@@ -12,6 +12,9 @@
 /// The most items of a page.
 const PAGE_ITEMS: usize = 500;
 
+/// How long a change is told to calls that wait for changes (`history_s`).
+const HISTORY: Duration = Duration::from_secs(20);
+
 /// The size of a page, in bytes, from which no further item is added.
 const PAGE_BYTES: usize = 1_000_000;
 
@@ -28,12 +31,23 @@
     ends: Instant,
 }
 
+/// A change of a key.
+struct Change {
+    at: Instant,
+    revision: u64,
+    key: String,
+    /// What was written; none if the key was removed.
+    written: Option<String>,
+}
+
 struct State {
     revision: u64,
     items: BTreeMap<String, Item>,
     leases: BTreeMap<u64, Lease>,
-    /// Keys that have changed, each with its revision and what was written.
-    history: Vec<(u64, String, Option<String>)>,
+    /// The changes of the last time.
+    history: Vec<Change>,
+    /// The revision of the newest change that is not in the history any more.
+    discarded: u64,
     last_lease: u64,
 }
 
@@ -59,6 +73,7 @@
             items: BTreeMap::new(),
             leases: BTreeMap::new(),
             history: Vec::new(),
+            discarded: 0,
             last_lease: 0,
         };
         let shared = Arc::new(Shared {
@@ -147,8 +162,11 @@
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut state = self.lock();
         loop {
-            let is_news =
-                |row: &&(u64, String, Option<String>)| row.0 > after && row.1.starts_with(prefix);
+            state.discard_history();
+            if after < state.discarded {
+                return Answer::new(410, format!("{{\"at\":{}}}", state.revision));
+            }
+            let is_news = |row: &&Change| row.revision > after && row.key.starts_with(prefix);
             let events: Vec<String> = state.history.iter().filter(is_news).map(event).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
@@ -240,14 +258,32 @@
             lease,
         };
         let row = format!("{}}}", item.open(key));
-        self.history.push((revision, key.to_owned(), Some(row)));
+        self.note(key, Some(row));
         self.items.insert(key.to_owned(), item);
     }
 
+    /// Adds a change at the present revision to the history.
+    fn note(&mut self, key: &str, written: Option<String>) {
+        self.history.push(Change {
+            at: Instant::now(),
+            revision: self.revision,
+            key: key.to_owned(),
+            written,
+        });
+    }
+
+    fn discard_history(&mut self) {
+        let old = self.history.iter().take_while(|c| c.at.elapsed() > HISTORY);
+        let count = old.count();
+        for change in self.history.drain(..count) {
+            self.discarded = change.revision;
+        }
+    }
+
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            self.history.push((self.revision, key.to_owned(), None));
+            self.note(key, None);
         }
     }
 
@@ -284,10 +320,9 @@
     }
 }
 
-fn event(row: &(u64, String, Option<String>)) -> String {
-    let (revision, key, written) = row;
-    written.clone().unwrap_or_else(|| {
-        let key = quoted(key);
+fn event(change: &Change) -> String {
+    change.written.clone().unwrap_or_else(|| {
+        let (key, revision) = (quoted(&change.key), change.revision);
         format!("{{\"key\":{key},\"revision\":{revision},\"deleted\":true}}")
     })
 }
