--- a/review/stand-in/born.rs
+++ b/review/stand-in/born.rs
@@ -9,7 +9,7 @@
 };
 use crate::record::Record;
 
-/// Half the period of `srv_flap`: how long the worker is down, and up between.
+/// How long the worker is down after each of its two crashes, and up between them.
 const HALF: Duration = Duration::from_millis(700);
 
 /// How far the time of day jumps back, and for how long.
--- a/review/stand-in/lease.rs
+++ b/review/stand-in/lease.rs
@@ -21,13 +21,16 @@
 const RUNNER_DOWN: Duration = Duration::from_secs(3);
 
 /// How long clients wait.
-const WAIT: Duration = Duration::from_millis(3_000);
+const WAIT: Duration = Duration::from_millis(1_500);
 
 /// The jobs before the crash and after it, and the tasks of each.
 const FIRST_JOBS: u64 = 3;
 const SECOND_JOBS: u64 = 8;
 const TASKS: u32 = 8;
 
+/// How long a task takes, in milliseconds.
+const TASK_MS: u64 = 750;
+
 /// How often this is played.
 const ROUNDS: u64 = 5;
 
@@ -37,7 +40,7 @@
 /// The worker crashes under its runs and is back at once; jobs begin there, and the runner is killed.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, Failure> {
     let plan = Plan {
-        config: config(10, &[route("main", "/main/", 3_000)]),
+        config: config(10, &[route("main", "/main/", 1_500)]),
         link: None,
         bounds: SMALL_BOUNDS,
     };
@@ -77,7 +80,7 @@
     )))
 }
 
-/// Sends jobs of tasks of a second, each on a thread of its own.
+/// Sends jobs, each on a thread of its own.
 fn send(
     record: &Record,
     deployment: &Deployment,
@@ -95,7 +98,7 @@
                 planner,
                 "POST",
                 &path,
-                &job(TASKS, 1_000, ""),
+                &job(TASKS, TASK_MS, ""),
                 WAIT,
             );
         })
