--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -68,14 +68,16 @@
     }
 
     pub(super) fn record_answer(&mut self, now: Time, outcome: &CallOutcome) {
+        let Some(upstream) = &mut self.upstream else {
+            return;
+        };
+        let started_ms = upstream.report.incarnation.started_ms;
         let clock = match outcome {
             CallOutcome::Done { clock } | CallOutcome::Refused { clock, .. } => *clock,
-            CallOutcome::Listed(lists) => Some(lists.clock),
+            // The clock of another incarnation is another one.
+            CallOutcome::Listed(lists) => (lists.started_ms == started_ms).then_some(lists.clock),
             CallOutcome::NoAnswer | CallOutcome::NotListening => None,
         };
-        let Some(upstream) = &mut self.upstream else {
-            return;
-        };
         if let Some(clock) = clock {
             upstream.lease.record_clock(now, clock);
         }
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -258,6 +258,44 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Runs a schedule in which upstreams are back soon after they have crashed, and their runners are
+/// killed soon after that.
+fn play_restarts(seed: u64, without: Without) -> World {
+    let mut world = World::new(seed, 3, 4, without);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x2E57);
+    for _ in 0..rng.u32(2..8) {
+        let (at, r) = (rng.u64(0..FAULTS), rng.usize(0..4));
+        let down = rng.u64(5_000..400_000);
+        world.at(at, Event::Crash(r, down));
+        if rng.bool() {
+            let kill = at + down + rng.u64(0..500_000);
+            world.at(kill, Event::KillRunner(r));
+        }
+    }
+    play_in(world, seed, without)
+}
+
+#[test]
+fn no_schedule_with_quick_restarts_violates_a_guarantee() {
+    let play = |seed| play_restarts(seed, Without::Nothing);
+    assert_eq!(first_violation(schedules(), play), None);
+}
+
+/// Runs one schedule with quick restarts of upstreams, as `one_schedule` does.
+#[test]
+fn one_schedule_with_quick_restarts() {
+    let world = play_restarts(given_seed(), Without::Nothing);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against a lease that is stretched by the clock of another incarnation of the upstream.
+#[test]
+fn without_calls_bound_to_an_incarnation_a_task_runs_twice() {
+    let play = |seed| play_restarts(seed, Without::BoundCalls);
+    let (_, violation) = first_violation(1..=400, play).expect("a violation");
+    assert!(violation.contains("runs on"), "{violation}");
+}
+
 /// Returns whether a schedule with evacuations violates them when a mechanism is left out.
 fn evacuations_are_broken(without: Without) -> bool {
     let found = first_violation(1..=400, |seed| play_evacuated(seed, without));
--- a/crates/chervilring_core/tests/runs/upstream.rs
+++ b/crates/chervilring_core/tests/runs/upstream.rs
@@ -22,6 +22,15 @@
     pub(crate) hangs: bool,
 }
 
+/// A rule that an upstream leaves out, to show that the checks notice its absence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ignored {
+    /// Runs go on after the lease has expired.
+    Leases,
+    /// Calls that are addressed to another incarnation are carried out.
+    Incarnation,
+}
+
 /// The model of an upstream.
 #[derive(Debug)]
 pub(crate) struct Upstream {
@@ -33,13 +42,17 @@
     pub(crate) rate: f64,
     pub(crate) speed: f64,
     pub(crate) capacity: Resources,
-    /// Whether leases are enforced.
-    pub(crate) enforce_leases: bool,
+    /// What it does not enforce.
+    pub(crate) ignored: Option<Ignored>,
+    /// When this incarnation started.
+    started: Time,
     pub(crate) active: BTreeMap<RunKey, ActiveRun>,
     pub(crate) ended: Vec<ListedEnd>,
     pub(crate) sequence: u64,
     last_end: u64,
     lease_end: u64,
+    /// The longest lease that it was granted, in milliseconds of its clock.
+    pub(crate) longest_lease: u64,
     fencing_token: u64,
     /// The highest attempt per task that was stopped or has ended here.
     ended_attempts: BTreeMap<TaskId, u32>,
@@ -71,19 +84,23 @@
                 memory: 64_000,
                 gpu: 0,
             },
-            enforce_leases: true,
+            ignored: None,
+            started: Time::default(),
             active: BTreeMap::new(),
             ended: Vec::new(),
             sequence: 0,
             last_end: 0,
             lease_end: 0,
+            longest_lease: 0,
             fencing_token: 0,
             ended_attempts: BTreeMap::new(),
         }
     }
 
+    /// Returns its clock in milliseconds, which starts anew with each incarnation.
     pub(crate) fn clock(&self, now: Time) -> u64 {
-        (now.0 as f64 * self.rate / 1_000.0) as u64 + 777_000
+        let age = self.started.duration_until(now);
+        (age.0 as f64 * self.rate / 1_000.0) as u64 + 1_000
     }
 
     /// Ends the runs that are due by `now`.
@@ -92,7 +109,7 @@
             return;
         }
         let clock = self.clock(now);
-        let is_expired = self.enforce_leases && clock >= self.lease_end;
+        let is_expired = self.ignored != Some(Ignored::Leases) && clock >= self.lease_end;
         let is_over = |g: &ActiveRun| !g.hangs && g.end <= now;
         let rows = self.active.iter().filter(|(_, g)| is_over(g) || is_expired);
         let due: Vec<(RunKey, RunEnd)> = rows
@@ -131,10 +148,11 @@
         self.sequence = 0;
     }
 
-    pub(crate) fn restart(&mut self) {
+    pub(crate) fn restart(&mut self, now: Time) {
         self.up = true;
         self.draining = false;
         self.started_ms += 1;
+        self.started = now;
     }
 
     pub(crate) fn report(&mut self, now: Time) -> Report {
@@ -175,6 +193,10 @@
         if call.incarnation().id != self.incarnation().id {
             return self.refused(now, CallRefusal::OtherLife);
         }
+        let is_misdirected = call.incarnation().started_ms != self.started_ms;
+        if is_misdirected && self.ignored != Some(Ignored::Incarnation) {
+            return self.handle_misdirected(now, call);
+        }
         let (UpstreamCall::Start { fencing_token, .. }
         | UpstreamCall::Stop { fencing_token, .. }
         | UpstreamCall::Poll { fencing_token, .. }) = call;
@@ -232,17 +254,32 @@
                     self.extend(now, *lease);
                 }
                 self.ended.retain(|e| e.seq > *acked);
-                CallOutcome::Listed(RunLists {
-                    clock: self.clock(now),
-                    started_ms: self.started_ms,
-                    active: self.list_active(now),
-                    ended: self.ended.clone(),
-                    has_more: false,
-                })
+                CallOutcome::Listed(self.lists(now))
             }
         }
     }
 
+    /// Answers a call that is addressed to another incarnation. It has no effect.
+    fn handle_misdirected(&self, now: Time, call: &UpstreamCall) -> CallOutcome {
+        match call {
+            UpstreamCall::Poll { .. } => CallOutcome::Listed(self.lists(now)),
+            _ => CallOutcome::Refused {
+                reason: CallRefusal::OtherLife,
+                clock: None,
+            },
+        }
+    }
+
+    fn lists(&self, now: Time) -> RunLists {
+        RunLists {
+            clock: self.clock(now),
+            started_ms: self.started_ms,
+            active: self.list_active(now),
+            ended: self.ended.clone(),
+            has_more: false,
+        }
+    }
+
     fn list_active(&self, now: Time) -> Vec<ListedRun> {
         let percent = |g: &ActiveRun| {
             let all = g.end.0.saturating_sub(g.since.0).max(1);
@@ -258,8 +295,10 @@
     }
 
     fn extend(&mut self, now: Time, lease: u64) {
-        let most = self.clock(now) + 1_000;
-        self.lease_end = self.lease_end.max(lease.min(most));
+        let clock = self.clock(now);
+        self.lease_end = self.lease_end.max(lease.min(clock + 1_000));
+        let left = self.lease_end.saturating_sub(clock);
+        self.longest_lease = self.longest_lease.max(left);
     }
 
     fn refused(&self, now: Time, reason: CallRefusal) -> CallOutcome {
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -21,7 +21,7 @@
 use links::Link;
 use processes::{Process, pause, process};
 
-use crate::upstream::{TaskId, Upstream};
+use crate::upstream::{Ignored, TaskId, Upstream};
 
 /// The one-way delay between two processes.
 const HOP: u64 = 500;
@@ -51,6 +51,8 @@
     Nothing,
     /// Upstreams let runs go on after their lease has expired.
     Leases,
+    /// Calls reach whichever incarnation of an upstream is there.
+    BoundCalls,
     /// Processes do not notice that they were paused.
     PauseDetection,
     /// Runners do not learn that a link has ended, and count every heartbeat as acknowledged.
@@ -194,7 +196,11 @@
         let speeds = [0.55, 1.2, 1.2, 1.0];
         let upstream = |i: usize| {
             let mut up = Upstream::new(i, 1.0 - rng.f64() * 0.02, speeds[i % 4], 8_000);
-            up.enforce_leases = without != Without::Leases;
+            up.ignored = match without {
+                Without::Leases => Some(Ignored::Leases),
+                Without::BoundCalls => Some(Ignored::Incarnation),
+                _ => None,
+            };
             up
         };
         let upstreams: Vec<Upstream> = (0..runners).map(upstream).collect();
@@ -390,7 +396,7 @@
                 self.muted.insert(r, (until, share));
             }
             Event::Drain(r) if r >= 1_000 => {
-                self.upstreams[r - 1_000].restart();
+                self.upstreams[r - 1_000].restart(self.now);
             }
             Event::Drain(r) => {
                 self.upstreams[r].draining = true;
--- a/crates/chervilring_daemon/src/net/mod.rs
+++ b/crates/chervilring_daemon/src/net/mod.rs
@@ -15,6 +15,6 @@
 pub use event_loop::EventLoop;
 pub use http_port::{ConnNo, HttpAnswer, HttpEvent, HttpPort, HttpReady, HttpRequest};
 pub use inbox::Inbox;
-pub use ip_client::{ip_addr, ip_client};
+pub use ip_client::{ConnectGate, gated_ip_client, ip_addr, ip_client};
 pub use links::{LinkEvent, LinkId, LinkState, Links};
 pub use listener::Listener;
