--- a/crates/chervilring_core/src/runs/runner/incarnations.rs
+++ b/crates/chervilring_core/src/runs/runner/incarnations.rs
@@ -9,31 +9,25 @@
 use crate::runs::speed::Speed;
 
 impl Runner {
-    /// Processes a report of the upstream and returns whether it was accepted. A late report of an
-    /// earlier incarnation is not.
+    /// Processes a report of the upstream and returns whether it counts from now on.
+    ///
+    /// Reports may arrive late, and the time of day by which incarnations date their start may fall. So
+    /// a report that seems to be of an earlier incarnation is kept until the upstream's own answers show
+    /// which incarnation is there.
     pub fn handle_report(&mut self, now: Time, report: Report) -> bool {
         let Some(upstream) = &mut self.upstream else {
             self.begin_incarnation(now, report);
             self.store_record(now);
             return true;
         };
-        let incarnation = &upstream.report.incarnation;
-        if report.incarnation.started_ms < incarnation.started_ms {
-            return false;
-        }
-        if report.incarnation != *incarnation {
-            // Calls address an upstream by its id, so the new incarnation may have started runs
-            // that were requested from the old one.
-            let is_same_id = report.incarnation.id == incarnation.id;
-            if !is_same_id {
-                self.end_incarnation(now);
+        if report.incarnation != upstream.report.incarnation {
+            let is_successor = upstream.is_replaced_by(&report.incarnation);
+            if is_successor {
+                self.replace_incarnation(now, report);
+            } else {
+                self.unconfirmed = Some(report);
             }
-            self.begin_incarnation(now, report);
-            self.store_record(now);
-            if is_same_id {
-                self.reconcile_runs(now);
-            }
-            return true;
+            return is_successor;
         }
         if report.sequence <= upstream.report.sequence {
             return true;
@@ -52,6 +46,60 @@
         true
     }
 
+    /// Lets the incarnation of a report take the place of the current one.
+    fn replace_incarnation(&mut self, now: Time, report: Report) {
+        // Calls address an upstream by its id, so the new incarnation may have started runs that were
+        // requested from the old one.
+        let id = &report.incarnation.id;
+        let is_same_id = self
+            .upstream
+            .as_ref()
+            .is_some_and(|u| u.report.incarnation.id == *id);
+        if !is_same_id {
+            self.end_incarnation(now);
+        }
+        self.begin_incarnation(now, report);
+        self.store_record(now);
+        if is_same_id {
+            self.reconcile_runs(now);
+        }
+    }
+
+    /// Handles lists of another incarnation under the same id: it is the one that is there.
+    pub(super) fn handle_restart(&mut self, now: Time, started_ms: u64) {
+        let Some(upstream) = &self.upstream else {
+            return;
+        };
+        let mut incarnation = upstream.report.incarnation.clone();
+        incarnation.started_ms = started_ms;
+        let is_there = |report: &Report| report.incarnation == incarnation;
+        if let Some(report) = self.unconfirmed.take().filter(is_there) {
+            self.replace_incarnation(now, report);
+            return;
+        }
+        let report = Report {
+            incarnation,
+            sequence: 0,
+            clock: None,
+            ..upstream.report.clone()
+        };
+        self.begin_incarnation(now, report);
+        self.reconcile_runs(now);
+        // The new incarnation may offer another service or capacity, so it gets no runs before its
+        // first report.
+        if let Some(upstream) = &mut self.upstream {
+            upstream.report_current = false;
+        }
+    }
+
+    /// Replaces an incarnation that is gone by the one that has reported meanwhile, if any has.
+    pub(super) fn replace_if_gone(&mut self, now: Time) {
+        let is_gone = self.upstream.as_ref().is_some_and(Upstream::is_gone);
+        if let Some(report) = self.unconfirmed.take_if(|_| is_gone) {
+            self.replace_incarnation(now, report);
+        }
+    }
+
     /// Restores the stored record of the upstream. `answers` says whether that upstream still
     /// answers; its lists show whether it is still the same incarnation.
     pub fn restore(&mut self, now: Time, record: UpstreamRecord, answers: bool) {
@@ -99,6 +147,7 @@
             upstream.lease.record_clock(now, clock);
         }
         self.upstream = Some(upstream);
+        self.unconfirmed = None;
         self.tick(now);
     }
 
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -25,12 +25,11 @@
         upstream.poll_pending = false;
         match outcome {
             CallOutcome::Listed(lists)
-                if lists.started_ms >= upstream.report.incarnation.started_ms =>
+                if lists.started_ms != upstream.report.incarnation.started_ms =>
             {
-                if lists.started_ms > upstream.report.incarnation.started_ms {
-                    self.handle_restart(now, lists.started_ms);
-                    return;
-                }
+                self.handle_restart(now, lists.started_ms);
+            }
+            CallOutcome::Listed(lists) => {
                 upstream.reachability = Reachability::Answering;
                 upstream.missed_polls = 0;
                 self.apply_lists(now, sent, &lists);
@@ -43,34 +42,21 @@
                 upstream.record_missed_poll(now);
                 upstream.silence = match outcome {
                     CallOutcome::NotListening => Silence::Crashed,
+                    CallOutcome::Refused {
+                        reason: CallRefusal::OtherLife,
+                        ..
+                    } => Silence::Replaced,
                     _ => Silence::Unexplained,
                 };
                 if upstream.reachability == Reachability::Answering {
                     upstream.reachability = Reachability::Missed;
                     self.log_no_answer(None, "hold");
                 }
+                self.replace_if_gone(now);
             }
         }
     }
 
-    /// Handles a restart of the upstream under the same id.
-    fn handle_restart(&mut self, now: Time, started_ms: u64) {
-        let Some(upstream) = &self.upstream else {
-            return;
-        };
-        let mut report = upstream.report.clone();
-        report.incarnation.started_ms = started_ms;
-        report.sequence = 0;
-        report.clock = None;
-        self.begin_incarnation(now, report);
-        self.reconcile_runs(now);
-        // The new incarnation may offer another service or capacity, so it gets no runs before its
-        // first report.
-        if let Some(upstream) = &mut self.upstream {
-            upstream.report_current = false;
-        }
-    }
-
     fn apply_lists(&mut self, now: Time, sent: Time, lists: &RunLists) {
         for row in &lists.ended {
             if let Some(upstream) = &mut self.upstream {
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -14,7 +14,7 @@
 use super::pace::RunPace;
 use super::record::UpstreamRecord;
 use super::run_times::StoredRunTimes;
-use super::upstream::Upstream;
+use super::upstream::{Report, Upstream};
 use crate::runs::bounds::{MAX_ORPHAN_TIME, queue_timeout_bucket};
 use crate::runs::evacuation::EvacuationSource;
 use crate::runs::order::{WorkOrder, unknown_urgency};
@@ -108,6 +108,8 @@
     /// Identifies this incarnation of the runner.
     pub(super) incarnation: u64,
     pub(super) upstream: Option<Upstream>,
+    /// The last report of another incarnation that has not taken the place of the current one.
+    pub(super) unconfirmed: Option<Report>,
     pub(super) runs: BTreeMap<RunKey, Run>,
     pub(super) links: BTreeMap<LinkNo, Link>,
     pub(super) steps: Vec<RunnerStep>,
@@ -148,6 +150,7 @@
             fencing_token,
             incarnation: fencing_token,
             upstream: None,
+            unconfirmed: None,
             runs: BTreeMap::new(),
             links: BTreeMap::new(),
             steps: Vec::new(),
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -192,7 +192,7 @@
         // Silence alone does not tell whether the upstream has crashed.
         let end = match upstream.silence {
             Silence::Crashed => RunEnd::Lapsed,
-            Silence::Unexplained => RunEnd::Stopped,
+            Silence::Unexplained | Silence::Replaced => RunEnd::Stopped,
         };
         let id = upstream.report.incarnation.id.clone();
         let sent = self.runs.iter_mut().filter(|(_, r)| r.link.is_some());
--- a/crates/chervilring_core/src/runs/runner/upstream.rs
+++ b/crates/chervilring_core/src/runs/runner/upstream.rs
@@ -37,6 +37,8 @@
     Unexplained,
     /// No process listens at its address.
     Crashed,
+    /// Another upstream answers at its address.
+    Replaced,
 }
 
 /// An upstream's report about itself.
@@ -109,6 +111,30 @@
         ready && self.runs_known && self.report_current && !self.is_silent()
     }
 
+    /// Returns whether it is known to run nothing any more.
+    pub(super) fn is_gone(&self) -> bool {
+        let has_vanished = self.silence != Silence::Unexplained;
+        match self.reachability {
+            _ if self.report.state == Availability::Left => true,
+            Reachability::Answering => false,
+            Reachability::Missed | Reachability::Silent => has_vanished,
+            Reachability::Expired => true,
+        }
+    }
+
+    /// Returns whether an incarnation that reports has taken its place, as far as the report tells.
+    ///
+    /// Runs of an upstream with another id end with it, so that id must not take the place of one that
+    /// still answers.
+    pub(super) fn is_replaced_by(&self, other: &UpstreamIncarnation) -> bool {
+        let current = &self.report.incarnation;
+        let is_later = other.started_ms >= current.started_ms;
+        if other.id == current.id {
+            return is_later;
+        }
+        self.is_gone() || (is_later && self.reachability != Reachability::Answering)
+    }
+
     /// Returns whether it has not answered any call for longer than the limit.
     pub(super) fn is_silent(&self) -> bool {
         matches!(
--- a/crates/chervilring_core/tests/runs/restarts.rs
+++ b/crates/chervilring_core/tests/runs/restarts.rs
@@ -48,17 +48,30 @@
 
 /// Answers the runner's polls with empty lists.
 fn answer_lists(runner: &mut Runner, now: Time) {
+    answer_lists_of(runner, now, STARTED_MS);
+}
+
+/// Answers the runner's polls with the empty lists of an incarnation that started at a time.
+fn answer_lists_of(runner: &mut Runner, now: Time, started_ms: u64) {
+    answer_polls(runner, now, |_| {
+        CallOutcome::Listed(RunLists {
+            clock: 9,
+            started_ms,
+            ..RunLists::default()
+        })
+    });
+}
+
+/// Answers the runner's polls.
+fn answer_polls(runner: &mut Runner, now: Time, outcome: impl Fn(&UpstreamCall) -> CallOutcome) {
+    runner.tick(now);
     let calls = runner.drain().into_iter().filter_map(|step| match step {
         RunnerStep::Call(call @ UpstreamCall::Poll { .. }) => Some(call),
         _ => None,
     });
     for call in calls.collect::<Vec<_>>() {
-        let lists = RunLists {
-            clock: 9,
-            started_ms: STARTED_MS,
-            ..RunLists::default()
-        };
-        runner.call_finished(now, now, &call, CallOutcome::Listed(lists));
+        let outcome = outcome(&call);
+        runner.call_finished(now, now, &call, outcome);
     }
 }
 
@@ -126,3 +139,79 @@
     let record = last_record(&mut next).expect("the new incarnation is stored");
     assert!(record.speed.value() < 0.6, "{:?}", record.speed);
 }
+
+/// Returns a runner whose upstream answers.
+fn runner_at_work() -> Runner {
+    let mut runner = runner(Time(0));
+    runner.handle_report(Time(0), report(Availability::Ready, 5));
+    answer_lists(&mut runner, Time(1_000));
+    assert!(runner.is_accepting());
+    runner
+}
+
+/// Returns a report of an incarnation that seems to have started before the current one.
+fn earlier_report(id: &str, state: Availability) -> Report {
+    let mut report = report(state, 1);
+    report.incarnation.id = id.into();
+    report.incarnation.started_ms = STARTED_MS - 50;
+    report
+}
+
+/// Guards against an upstream whose reports are dropped for good because the time of day has fallen.
+#[test]
+fn an_incarnation_whose_start_time_has_fallen_takes_its_place() {
+    let mut runner = runner_at_work();
+    let draining = earlier_report("u", Availability::Draining);
+    runner.handle_report(Time(150_000), draining);
+    answer_lists_of(&mut runner, Time(300_000), STARTED_MS - 50);
+    answer_lists_of(&mut runner, Time(450_000), STARTED_MS - 50);
+    assert!(!runner.is_accepting(), "its report was dropped");
+    let mut ready = earlier_report("u", Availability::Ready);
+    ready.sequence = 2;
+    assert!(runner.handle_report(Time(600_000), ready));
+    assert!(runner.is_accepting());
+}
+
+/// Guards against lists that are dropped for good, with the ends of runs in them.
+#[test]
+fn the_lists_of_an_incarnation_whose_start_time_has_fallen_count() {
+    let mut runner = runner_at_work();
+    answer_lists_of(&mut runner, Time(300_000), STARTED_MS - 50);
+    assert!(!runner.is_accepting(), "it has not reported yet");
+    answer_lists_of(&mut runner, Time(450_000), STARTED_MS - 50);
+    assert!(runner.handle_report(Time(600_000), earlier_report("u", Availability::Ready)));
+    assert!(runner.is_accepting());
+}
+
+#[test]
+fn a_late_report_of_an_earlier_incarnation_changes_nothing() {
+    let mut runner = runner_at_work();
+    for id in ["u", "v"] {
+        assert!(!runner.handle_report(Time(150_000), earlier_report(id, Availability::Draining)));
+        answer_lists(&mut runner, Time(300_000));
+        assert!(runner.is_accepting());
+    }
+}
+
+/// Guards against a late report that ends the runs of an upstream which goes on with them.
+#[test]
+fn another_upstream_does_not_take_the_place_of_one_that_answers() {
+    let mut runner = runner_at_work();
+    let mut other = report(Availability::Ready, 1);
+    other.incarnation.id = "v".into();
+    other.incarnation.started_ms += 50;
+    assert!(!runner.handle_report(Time(150_000), other));
+    answer_lists(&mut runner, Time(300_000));
+    answer_polls(&mut runner, Time(450_000), |_| CallOutcome::NotListening);
+    let record = last_record(&mut runner).expect("the other one is there");
+    assert_eq!(&*record.report.incarnation.id, "v");
+}
+
+#[test]
+fn another_upstream_whose_start_time_has_fallen_takes_the_place_of_one_that_is_gone() {
+    let mut runner = runner_at_work();
+    answer_polls(&mut runner, Time(300_000), |_| CallOutcome::NotListening);
+    assert!(runner.handle_report(Time(450_000), earlier_report("v", Availability::Ready)));
+    answer_lists_of(&mut runner, Time(600_000), STARTED_MS - 50);
+    assert!(runner.is_accepting());
+}
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -258,11 +258,15 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
-/// Runs a schedule in which upstreams are back soon after they have crashed, and their runners are
-/// killed soon after that.
+/// Runs a schedule in which upstreams are back soon after they have crashed, some with a start time
+/// that lies before that of the incarnation before; their runners are killed or they drain soon after
+/// that.
 fn play_restarts(seed: u64, without: Without) -> World {
     let mut world = World::new(seed, 3, 4, without);
     let mut rng = fastrand::Rng::with_seed(seed ^ 0x2E57);
+    for up in &mut world.upstreams {
+        up.is_set_back = rng.bool();
+    }
     for _ in 0..rng.u32(2..8) {
         let (at, r) = (rng.u64(0..FAULTS), rng.usize(0..4));
         let down = rng.u64(5_000..400_000);
@@ -271,6 +275,10 @@
             let kill = at + down + rng.u64(0..500_000);
             world.at(kill, Event::KillRunner(r));
         }
+        if rng.bool() {
+            let drain = at + down + rng.u64(0..1_500_000);
+            world.at(drain, Event::Drain(r));
+        }
     }
     play_in(world, seed, without)
 }
@@ -281,6 +289,16 @@
     assert_eq!(first_violation(schedules(), play), None);
 }
 
+/// Guards against an upstream that is given no work, and whose reports and ends are dropped, because its
+/// start time has fallen.
+#[test]
+fn every_upstream_that_is_back_is_used_again() {
+    for seed in 1..=100 {
+        let world = play_restarts(seed, Without::Nothing);
+        assert_eq!(world.unused_upstreams(), Vec::<usize>::new(), "seed {seed}");
+    }
+}
+
 /// Runs one schedule with quick restarts of upstreams, as `one_schedule` does.
 #[test]
 fn one_schedule_with_quick_restarts() {
@@ -291,9 +309,11 @@
 /// Guards against a lease that is stretched by the clock of another incarnation of the upstream.
 #[test]
 fn without_calls_bound_to_an_incarnation_a_task_runs_twice() {
-    let play = |seed| play_restarts(seed, Without::BoundCalls);
-    let (_, violation) = first_violation(1..=400, play).expect("a violation");
-    assert!(violation.contains("runs on"), "{violation}");
+    let runs_twice = |seed| {
+        let violations = play_restarts(seed, Without::BoundCalls).violations;
+        violations.iter().any(|v| v.contains("runs on"))
+    };
+    assert!((1..=400).any(runs_twice));
 }
 
 /// Returns whether a schedule with evacuations violates them when a mechanism is left out.
--- a/crates/chervilring_core/tests/runs/upstream.rs
+++ b/crates/chervilring_core/tests/runs/upstream.rs
@@ -38,6 +38,8 @@
     pub(crate) started_ms: u64,
     pub(crate) up: bool,
     pub(crate) draining: bool,
+    /// When its runner first acknowledged that this incarnation drains.
+    pub(crate) drain_acknowledged: Time,
     /// The rate of its clock relative to true time; at most one.
     pub(crate) rate: f64,
     pub(crate) speed: f64,
@@ -46,6 +48,10 @@
     pub(crate) ignored: Option<Ignored>,
     /// When this incarnation started.
     started: Time,
+    /// The number of incarnations before this one.
+    incarnations: u64,
+    /// Whether the time of day is set back between incarnations, and forward again.
+    pub(crate) is_set_back: bool,
     pub(crate) active: BTreeMap<RunKey, ActiveRun>,
     pub(crate) ended: Vec<ListedEnd>,
     pub(crate) sequence: u64,
@@ -58,6 +64,9 @@
     ended_attempts: BTreeMap<TaskId, u32>,
 }
 
+/// When the first incarnation of an upstream starts, in milliseconds since the Unix epoch.
+const FIRST_START: u64 = 1_000;
+
 /// The number of failure domains over which upstreams are spread in turn.
 pub(crate) const DOMAINS: usize = 2;
 
@@ -74,9 +83,10 @@
     pub(crate) fn new(index: usize, rate: f64, speed: f64, cpu: u64) -> Self {
         Self {
             index,
-            started_ms: 1_000,
+            started_ms: FIRST_START,
             up: true,
             draining: false,
+            drain_acknowledged: Time::NEVER,
             rate,
             speed,
             capacity: Resources {
@@ -86,6 +96,8 @@
             },
             ignored: None,
             started: Time::default(),
+            incarnations: 0,
+            is_set_back: false,
             active: BTreeMap::new(),
             ended: Vec::new(),
             sequence: 0,
@@ -151,8 +163,15 @@
     pub(crate) fn restart(&mut self, now: Time) {
         self.up = true;
         self.draining = false;
-        self.started_ms += 1;
+        self.drain_acknowledged = Time::NEVER;
+        self.incarnations += 1;
         self.started = now;
+        // The time of day of its host may have been set back in between.
+        self.started_ms = if self.is_set_back && self.incarnations % 2 == 1 {
+            FIRST_START - self.incarnations
+        } else {
+            FIRST_START + self.incarnations
+        };
     }
 
     pub(crate) fn report(&mut self, now: Time) -> Report {
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -303,6 +303,17 @@
             .map_or(0, Planner::runner_count)
     }
 
+    /// Returns the upstreams that take work and whose runners give them none.
+    pub(crate) fn unused_upstreams(&self) -> Vec<usize> {
+        let is_used = |r: &usize| {
+            let core = self.runners[*r].core.as_ref();
+            core.is_some_and(Runner::is_accepting)
+        };
+        let takes_work = |r: &usize| self.upstreams[*r].up && !self.upstreams[*r].draining;
+        let all = 0..self.upstreams.len();
+        all.filter(takes_work).filter(|r| !is_used(r)).collect()
+    }
+
     /// Prints a line if tracing is on.
     fn trace(&self, text: &str) {
         if self.traced {
@@ -399,8 +410,10 @@
                 self.upstreams[r - 1_000].restart(self.now);
             }
             Event::Drain(r) => {
-                self.upstreams[r].draining = true;
-                self.report(r);
+                if self.upstreams[r].up {
+                    self.upstreams[r].draining = true;
+                    self.report(r);
+                }
             }
             Event::ResetCaller(job) => self.reset_caller(job),
             Event::CloseLink(p, r) => self.mark_surplus(p, r),
@@ -420,8 +433,14 @@
     fn report(&mut self, r: usize) {
         let now = self.now;
         let report = self.upstreams[r].report(now);
-        self.wake_runner(r, move |core, now| {
+        let mut is_acknowledged = false;
+        self.wake_runner(r, |core, now| {
             core.handle_report(now, report);
+            is_acknowledged = true;
         });
+        let up = &mut self.upstreams[r];
+        if is_acknowledged && up.draining {
+            up.drain_acknowledged = up.drain_acknowledged.min(now);
+        }
     }
 }
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -4,12 +4,15 @@
 
 use chervilring_core::runs::planner::{PlannerEvent, PlannerStep};
 use chervilring_core::runs::runner::{CallOutcome, RunnerStep, UpstreamCall};
-use chervilring_wire::{PlannerMessage, RefuseReason, RunKey, RunnerMessage, Time};
+use chervilring_wire::{Micros, PlannerMessage, RefuseReason, RunKey, RunnerMessage, Time};
 
 use super::links::Packet;
-use super::{CALL_TIME, Event, NEAR, POLL_TIME, REPORT, TestJob, Without, World};
+use super::{CALL_TIME, Event, NEAR, POLL_TIME, TestJob, Without, World};
 use crate::upstream::{TaskId, task_of};
 
+/// How long runs may start after the acknowledgement of a report that an upstream drains.
+const DRAIN_TIME: Micros = Micros::from_secs(2);
+
 impl World {
     pub(super) fn planner_step(&mut self, p: usize, step: PlannerStep) {
         match step {
@@ -175,13 +178,10 @@
             self.violations
                 .push(format!("{now:?}: {run} brings {r} over its capacity"));
         }
-        if up.draining && self.without == Without::Nothing {
-            // A start that was in transit when the upstream began to drain is allowed.
-            let since = now.0 % REPORT;
-            if since > 2_000_000 {
-                self.violations
-                    .push(format!("{now:?}: {run} started while {r} drains"));
-            }
+        let is_late = up.drain_acknowledged.duration_until(now) > DRAIN_TIME;
+        if up.draining && is_late && !self.is_late_call {
+            self.violations
+                .push(format!("{now:?}: {run} starts while {r} drains"));
         }
     }
 
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -262,8 +262,10 @@
             };
             let answer = match (self.parts.dialect.read)(&request) {
                 WorkerNotice::Report(report) => {
+                    let life = report.incarnation.clone();
                     if !self.parts.runner.handle_report(now, report) {
-                        info!(self.parts.log, "late report of an earlier life ignored");
+                        info!(self.parts.log, "report of another life kept until it is confirmed";
+                            "upstream" => &*life.id, "born_ms" => life.started_ms);
                     }
                     (self.parts.dialect.accepted)()
                 }
