--- a/crates/chervilring_daemon/src/runs/operator.rs
+++ b/crates/chervilring_daemon/src/runs/operator.rs
@@ -163,11 +163,11 @@
             let Some(reading) = reported(outcome, well, tell) else {
                 continue;
             };
+            let revision = reading.revision;
             // No job is served by a configuration without the evacuations that were read with it.
             let Ok(evacuations) = reading.evacuations else {
                 continue;
             };
-            let revision = evacuations.evacuations.revision;
             tell(StoreEvent::Evacuations(evacuations));
             if let Ok(Some(found)) = reading.config {
                 return (revision, found);
--- a/crates/chervilring_daemon/src/runs/registry.rs
+++ b/crates/chervilring_daemon/src/runs/registry.rs
@@ -39,6 +39,9 @@
 /// What operators have written, as one read shows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OperatorReading {
+    /// The revision of the store that every part shows or is newer than: what was written after it may
+    /// be missing from one part although another, read by a later call, shows a later revision.
+    pub revision: u64,
     /// The newest configuration with its version, if there is one.
     pub config: Result<Option<(u64, Pair)>, StoreError>,
     /// The evacuated failure domains. They may take a call of their own.
@@ -46,11 +49,12 @@
 }
 
 impl OperatorReading {
-    /// Returns the revision of the store that the reading shows, or why a part of it is missing.
+    /// Returns the revision of the store after which changes may be missing, or why a part of the
+    /// reading is.
     pub(super) fn revision(&self) -> Result<u64, &StoreError> {
         self.config.as_ref()?;
-        let reading = self.evacuations.as_ref()?;
-        Ok(reading.evacuations.revision)
+        self.evacuations.as_ref()?;
+        Ok(self.revision)
     }
 }
 
--- a/crates/chervilring_daemon/src/runs/tests.rs
+++ b/crates/chervilring_daemon/src/runs/tests.rs
@@ -76,6 +76,7 @@
 
 fn reading(config: Option<(u64, Pair)>) -> OperatorReading {
     OperatorReading {
+        revision: 0,
         config: Ok(config),
         evacuations: Ok(EvacuationReading::default()),
     }
