--- a/crates/chervilring_core/src/runs/planner/order.rs
+++ b/crates/chervilring_core/src/runs/planner/order.rs
@@ -48,6 +48,6 @@
     pub(super) fn total_cpu(&self, service: &str) -> u64 {
         let accepting = self.links.values().filter(|u| u.accepts(service));
         let states = accepting.filter_map(|u| u.state.as_ref());
-        states.map(|(s, _)| s.capacity.cpu).sum()
+        states.fold(0, |sum: u64, (s, _)| sum.saturating_add(s.capacity.cpu))
     }
 }
--- a/crates/chervilring_core/src/runs/planner/placing.rs
+++ b/crates/chervilring_core/src/runs/planner/placing.rs
@@ -79,7 +79,7 @@
         };
         let row = &job.submission.steps[step];
         let total_cpu = self.total_cpu(job.submission.route.service.as_str());
-        (row.demand.cpu * u64::from(row.count)) as f64 > total_cpu as f64 * WIDE_SHARE
+        row.demand.cpu as f64 * f64::from(row.count) > total_cpu as f64 * WIDE_SHARE
     }
 
     /// Chooses upstreams for tasks of a step. Returns the number of tasks without a place.
--- a/crates/chervilring_core/src/runs/planner/retry_after.rs
+++ b/crates/chervilring_core/src/runs/planner/retry_after.rs
@@ -102,7 +102,7 @@
     let Some((state, _)) = &upstream.state else {
         return 0;
     };
-    let queued: u64 = state.queued.iter().map(|q| q.demand.cpu).sum();
-    let share = queued as f64 / state.capacity.cpu.max(1) as f64;
+    let queued: f64 = state.queued.iter().map(|q| q.demand.cpu as f64).sum();
+    let share = queued / state.capacity.cpu.max(1) as f64;
     (share * state.run_time.0 as f64) as u64
 }
--- a/crates/chervilring_core/src/runs/runner/lease.rs
+++ b/crates/chervilring_core/src/runs/runner/lease.rs
@@ -31,7 +31,7 @@
     /// until its clock has been read.
     pub fn extend(&mut self, now: Time, duration: Micros) -> Option<u64> {
         let (clock, at) = self.reading?;
-        let end = clock + (now.duration_since(at) + duration).as_millis();
+        let end = clock.saturating_add((now.duration_since(at) + duration).as_millis());
         self.latest_end = self.latest_end.max(end);
         Some(end)
     }
--- a/crates/chervilring_core/src/runs/runner/upstream.rs
+++ b/crates/chervilring_core/src/runs/runner/upstream.rs
@@ -125,10 +125,13 @@
     /// Returns whether an incarnation that reports has taken its place, as far as the report tells.
     ///
     /// Runs of an upstream with another id end with it, so that id must not take the place of one that
-    /// still answers.
+    /// still answers. One that has never answered may have been made up by another program.
     pub(super) fn is_replaced_by(&self, other: &UpstreamIncarnation) -> bool {
         let current = &self.report.incarnation;
         let is_later = other.started_ms >= current.started_ms;
+        if self.last_answer == Time::default() {
+            return true;
+        }
         if other.id == current.id {
             return is_later;
         }
--- a/crates/chervilring_core/tests/runs/restarts.rs
+++ b/crates/chervilring_core/tests/runs/restarts.rs
@@ -215,3 +215,31 @@
     answer_lists_of(&mut runner, Time(600_000), STARTED_MS - 50);
     assert!(runner.is_accepting());
 }
+
+/// Guards against a report of another program that keeps the upstream out for good.
+#[test]
+fn an_upstream_takes_the_place_of_one_that_has_never_answered() {
+    for id in ["u", "v"] {
+        let mut runner = runner(Time(0));
+        let mut odd = report(Availability::Ready, 1);
+        odd.incarnation.id = id.into();
+        odd.incarnation.started_ms = u64::MAX;
+        odd.clock = Some(u64::MAX);
+        odd.capacity.cpu = u64::MAX;
+        runner.handle_report(Time(0), odd);
+        answer_polls(&mut runner, Time(1_000), |_| CallOutcome::NoAnswer);
+        runner.handle_report(Time(150_000), report(Availability::Ready, 1));
+        answer_lists(&mut runner, Time(300_000));
+        assert!(runner.is_accepting(), "{id}");
+    }
+}
+
+#[test]
+fn a_clock_near_its_greatest_value_ends_nothing() {
+    let mut lease = chervilring_core::runs::runner::Lease::default();
+    lease.record_clock(Time(0), u64::MAX);
+    assert_eq!(
+        lease.extend(Time(1), Micros::from_millis(450)),
+        Some(u64::MAX)
+    );
+}
