--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -1,7 +1,7 @@
 //! Reconciliation of the runner's table with the upstream's own lists of runs, which are
 //! authoritative.
 
-use chervilring_wire::{Micros, RunEnd, RunKey, RunProgress, RunnerMessage, Time};
+use chervilring_wire::{Micros, RefuseReason, RunEnd, RunKey, RunProgress, RunnerMessage, Time};
 
 use super::call::{CallOutcome, CallRefusal, RunLists};
 use super::event::RunnerEvent;
@@ -119,18 +119,18 @@
         for (run, end) in gone {
             self.finish_run(now, run, end);
         }
-        self.requeue_unconfirmed(sent);
+        self.abandon_unconfirmed(now, sent);
     }
 
-    /// Queues the runs that the new incarnation has not started. Late calls to the previous one
-    /// carry a lower fencing token and are refused.
-    fn requeue_unconfirmed(&mut self, sent: Time) {
-        let unconfirmed =
+    /// Ends the runs that the new incarnation has not started. They were placed by what the upstream was
+    /// before: it may be of another kind now, which only planners can tell.
+    fn abandon_unconfirmed(&mut self, now: Time, sent: Time) {
+        let is_unconfirmed =
             |row: &Run| matches!(row.state, RunState::Unconfirmed(since) if since < sent);
-        self.runs
-            .retain(|_, r| !(unconfirmed(r) && (r.stop_requested && r.link.is_none())));
-        for row in self.runs.values_mut().filter(|r| unconfirmed(r)) {
-            row.state = RunState::Queued;
+        let rows = self.runs.iter().filter(|(_, r)| is_unconfirmed(r));
+        let runs: Vec<RunKey> = rows.map(|(run, _)| *run).collect();
+        for run in runs {
+            self.abandon_queued(now, run, RefuseReason::Closed);
         }
     }
 
--- a/crates/chervilring_core/tests/runs/down.rs
+++ b/crates/chervilring_core/tests/runs/down.rs
@@ -285,6 +285,29 @@
     assert_eq!(harness.ends.len(), 1);
 }
 
+/// Guards against a start on an upstream that has come back as another kind, without the label that the
+/// task requires.
+#[test]
+fn a_run_that_was_placed_on_an_earlier_incarnation_does_not_start_on_the_next_one() {
+    let mut harness = Harness::new();
+    harness.start(1);
+    harness.run(10, unanswered_starts);
+    let mut next = report();
+    next.incarnation.started_ms = 78;
+    next.labels = vec!["another".into()];
+    harness.runner.handle_report(harness.now, next);
+    harness.run(200, |call| match call {
+        UpstreamCall::Poll { .. } => CallOutcome::Listed(RunLists {
+            clock: 1,
+            started_ms: 78,
+            ..RunLists::default()
+        }),
+        _ => CallOutcome::Done { clock: Some(1) },
+    });
+    assert_eq!(harness.started, 0);
+    assert_eq!(harness.ends, [RunEnd::Lapsed]);
+}
+
 #[test]
 fn a_listed_run_counts_as_started_once() {
     let mut harness = Harness::new();
