review: a foreign heartbeat makes a task run twice

The case shows TWICE with one heartbeat of another writer while a worker leaves two calls unanswered.

--- /dev/null
+++ b/review/6/stand-in/cases.rs
@@ -0,0 +1,265 @@
+//! The cases.
+
+use std::env;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use crate::deployment::{Deployment, Layout, ask, ask_aside, kind, runner_name, wait};
+use crate::http::{Reply, call};
+use crate::proxy::Proxy;
+use crate::record::Record;
+use crate::worker::{Seen, unix_ms};
+
+/// `cancel_ms` and `stop_timeout_ms`, in microseconds.
+const CANCEL: u64 = 3_000_000;
+const STOP: u64 = 50_000;
+
+/// `retransmit_ms`.
+const RESEND: Duration = Duration::from_millis(1_300);
+
+/// How many calls in a row a worker leaves unanswered: the runner waits for 80 ms, then for 30 ms.
+const LEFT_CALLS: u32 = 2;
+
+/// How long after the first of them the heartbeat of another writer comes.
+const FOREIGN_AFTER: Duration = Duration::from_millis(110);
+
+/// The time after which a lost packet is sent again.
+const SENT_AGAIN: Duration = Duration::from_millis(200);
+
+/// Returns in which ways the rule was broken.
+type Broken = Vec<String>;
+
+pub fn play(case: &str, record: &Record, trouble: bool) -> io::Result<Broken> {
+    match case {
+        "foreign-heartbeat" => foreign_heartbeat(record, trouble),
+        "cancel-elsewhere" => cancel_elsewhere(record, trouble),
+        "cancelled-again" => cancelled_again(record, trouble),
+        "kind-changed" => kind_changed(record, trouble),
+        other => Err(io::Error::other(format!("there is no case {other}"))),
+    }
+}
+
+fn seconds(number: u64) -> Duration {
+    Duration::from_secs(number)
+}
+
+/// Returns the pairs of runs of one task that went on at the same time.
+fn twice(seen: &[Seen], now: u64) -> Broken {
+    let end = |s: &Seen| s.ended.map_or(now, |(at, _)| at);
+    let mut broken = Vec::new();
+    for (place, one) in seen.iter().enumerate() {
+        for other in &seen[place + 1..] {
+            let overlap = end(one).min(end(other)).saturating_sub(one.began.max(other.began));
+            if one.task == other.task && overlap > 0 {
+                broken.push(format!(
+                    "task {} ran on {} (run {}) and {} (run {}) at the same time, for {:.1} ms",
+                    one.task,
+                    one.worker,
+                    one.attempt,
+                    other.worker,
+                    other.attempt,
+                    overlap as f64 / 1e3
+                ));
+            }
+        }
+    }
+    broken
+}
+
+/// TWICE: a heartbeat of another writer arrives while a worker leaves calls unanswered for a moment.
+/// With `FOREIGN=0` in the environment only the calls are left unanswered.
+fn foreign_heartbeat(record: &Record, trouble: bool) -> io::Result<Broken> {
+    let layout = Layout {
+        planners: 1,
+        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
+        proxied: false,
+    };
+    let deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    for round in 0..3 {
+        let id = format!("5c0e7a21d94b36f{round}");
+        let body = "{\"spec\":\"1500\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\
+                    \"estimate_ms\":1500}],\"best_effort\":true}";
+        let client = ask_aside(&deployment, 0, &id, body, seconds(6));
+        let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
+        if !wait(seconds(3), is_begun) {
+            return Err(io::Error::other("the job did not begin"));
+        }
+        thread::sleep(Duration::from_millis(300));
+        let place = usize::from(deployment.workers[1].active() > 0);
+        if trouble {
+            let worker = &deployment.workers[place];
+            worker.leave_unanswered(LEFT_CALLS);
+            let is_time = || worker.is_unanswered_since(FOREIGN_AFTER);
+            if !wait(seconds(1), is_time) {
+                return Err(io::Error::other("the worker was not called"));
+            }
+            if env::var("FOREIGN").as_deref() == Ok("0") {
+                drop(client.join());
+                thread::sleep(seconds(3));
+                continue;
+            }
+            let address = SocketAddr::new(deployment.ip(200), 8165);
+            let body = worker.heartbeat_body("unnamed", address, unix_ms());
+            let control = deployment.control(place);
+            let path = "/-/instances/i-0000ffff";
+            let reply = call(control, "PUT", path, &[], &body, seconds(1));
+            let status = reply.map_or("no answer".to_owned(), |r| r.status.to_string());
+            record.add(format!("another writer: PUT {path} at runner {place} {body}: {status}"));
+        }
+        drop(client.join());
+        thread::sleep(seconds(3));
+    }
+    let seen = deployment.seen.lock().unwrap().clone();
+    if seen.len() < 3 {
+        return Err(io::Error::other("not all jobs ran"));
+    }
+    Ok(twice(&seen, record.now()))
+}
+
+/// Tasks of 4.5 s, and others that start when these are done.
+const LONG_JOB: &str = "{\"spec\":\"4500,3000\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\
+    \"estimate_ms\":4500},{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":3000,\
+    \"after\":[0]}],\"best_effort\":true}";
+
+/// UNASKED: the connection with a cancelling is reset, and the retry reaches another planner.
+fn cancel_elsewhere(record: &Record, trouble: bool) -> io::Result<Broken> {
+    let layout = Layout {
+        planners: 2,
+        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
+        proxied: false,
+    };
+    let deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    let id = "5c0e7a21d94b36f8";
+    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(15));
+    let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
+    if !wait(seconds(3), is_begun) {
+        return Err(io::Error::other("the job did not begin"));
+    }
+    thread::sleep(Duration::from_millis(500));
+    if trouble {
+        // Nothing of this request reaches a planner.
+        let reset = reset_listener(&deployment)?;
+        let patience = seconds(4);
+        let reply = ask(record, reset, 0, "DELETE", id, "", patience);
+        if reply.is_some() {
+            return Err(io::Error::other("the connection was not reset"));
+        }
+    }
+    let planner = usize::from(trouble);
+    let reply = deployment.ask(planner, "DELETE", id, "", seconds(4));
+    let acknowledged = acknowledged(record, reply)?;
+    drop(client.join());
+    thread::sleep(seconds(1));
+    Ok(ran_on(&deployment, acknowledged))
+}
+
+/// Returns an address at which connections are reset before anything is read.
+fn reset_listener(deployment: &Deployment) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(SocketAddr::new(deployment.ip(201), 0))?;
+    let addr = listener.local_addr()?;
+    thread::spawn(move || drop(listener.accept()));
+    Ok(addr)
+}
+
+/// Returns when a cancelling was acknowledged.
+fn acknowledged(record: &Record, reply: Option<Reply>) -> io::Result<u64> {
+    let is_ack = |r: &Reply| r.status / 100 == 2 || r.status == 410;
+    let Some(reply) = reply.filter(is_ack) else {
+        return Err(io::Error::other("the cancelling was not acknowledged"));
+    };
+    record.add(format!("the cancelling is acknowledged with {}", reply.status));
+    Ok(record.now())
+}
+
+/// Returns the starts and runs that are later after the ack of a cancelling than is allowed.
+fn ran_on(deployment: &Deployment, acknowledged: u64) -> Broken {
+    let mut broken = Vec::new();
+    let now = deployment.record.now();
+    for run in deployment.seen.lock().unwrap().iter() {
+        let began = run.began.saturating_sub(acknowledged);
+        if began > CANCEL {
+            let late = began as f64 / 1e3;
+            broken.push(format!("{} started {late:.0} ms after the ack", run.task));
+        }
+        let end = run.ended.map_or(now, |(at, _)| at).saturating_sub(acknowledged);
+        if end > CANCEL + STOP {
+            let late = end as f64 / 1e3;
+            broken.push(format!("{} ran on until {late:.0} ms after the ack", run.task));
+        }
+    }
+    broken
+}
+
+/// UNASKED: a job that was cancelled is sent again because its first sending was answered with 504.
+fn cancelled_again(record: &Record, trouble: bool) -> io::Result<Broken> {
+    let layout = Layout {
+        planners: 2,
+        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
+        proxied: false,
+    };
+    let deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    let id = "5c0e7a21d94b36f8";
+    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(15));
+    let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
+    if !wait(seconds(3), is_begun) {
+        return Err(io::Error::other("the job did not begin"));
+    }
+    thread::sleep(Duration::from_millis(500));
+    let reply = deployment.ask(0, "DELETE", id, "", seconds(4));
+    let acknowledged = acknowledged(record, reply)?;
+    let first = client.join().ok().flatten();
+    let is_sent_again = first.is_none_or(|r| r.status == 502 || r.status == 504);
+    if trouble && is_sent_again {
+        thread::sleep(RESEND);
+        let again = ask_aside(&deployment, 0, id, LONG_JOB, seconds(13));
+        drop(again.join());
+    } else {
+        thread::sleep(seconds(5));
+    }
+    Ok(ran_on(&deployment, acknowledged))
+}
+
+/// ROUTE: a start is under way while its worker is replaced by one of another kind.
+fn kind_changed(record: &Record, trouble: bool) -> io::Result<Broken> {
+    // One worker of eight has the label.
+    let of_place = |place: u32| {
+        let rack = format!("r1-{}", place / 3);
+        let label = if place == 0 { "a" } else { "b" };
+        kind(&format!("i-7f3a91c{place}"), &[label, &rack])
+    };
+    let layout = Layout {
+        planners: 1,
+        kinds: (0..8).map(of_place).collect(),
+        proxied: true,
+    };
+    let proxy = Proxy::new();
+    let watch = |net: &[u8; 2]| proxy.watch(&runner_name(net, 0));
+    let deployment = Deployment::start_watched(record, layout, watch, |ip| proxy.start(ip))?;
+    if trouble {
+        record.add("a packet from the planner to runner 0 is lost; it is sent again after 200 ms");
+        proxy.hold(SENT_AGAIN);
+    }
+    let body = "{\"spec\":\"300\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\
+                \"estimate_ms\":300,\"required_label\":\"a\"}],\"best_effort\":true}";
+    let client = ask_aside(&deployment, 0, "5c0e7a21d94b36f8", body, seconds(4));
+    if trouble {
+        thread::sleep(Duration::from_millis(30));
+        deployment.workers[0].crash();
+        let next = kind("i-7f3a91c9", &["b", "r1-0"]);
+        thread::sleep(Duration::from_millis(40));
+        record.add("a worker with the labels b, r1-0 begins at the same address");
+        let worker = deployment.worker(0, next, "the next worker")?;
+        drop(client.join());
+        drop(worker);
+    } else {
+        drop(client.join());
+    }
+    thread::sleep(seconds(1));
+    let seen = deployment.seen.lock().unwrap().clone();
+    let is_wrong = |s: &&Seen| !s.labels.iter().any(|l| l == "a");
+    let broken = seen.iter().filter(is_wrong);
+    let broken = broken.map(|s| format!("{} started on {}, which has {:?}", s.task, s.worker, s.labels));
+    Ok(broken.collect())
+}
