--- a/review/6/stand-in/cases.rs
+++ b/review/6/stand-in/cases.rs
@@ -25,6 +25,9 @@
 /// How long after the first of them the heartbeat of another writer comes.
 const FOREIGN_AFTER: Duration = Duration::from_millis(110);
 
+/// How far the time of day is ahead for a while.
+const CLOCK_STEP_MS: u64 = 2_400;
+
 /// The time after which a lost packet is sent again.
 const SENT_AGAIN: Duration = Duration::from_millis(200);
 
@@ -68,56 +71,91 @@
     broken
 }
 
-/// TWICE: a heartbeat of another writer arrives while a worker leaves calls unanswered for a moment.
-/// With `FOREIGN=0` in the environment only the calls are left unanswered.
+/// TWICE: a heartbeat that names no worker to use arrives while a worker leaves calls unanswered for a
+/// moment. It is of another writer; with `HEARTBEAT=delayed` in the environment it is one of the worker's
+/// earlier incarnation, and with `HEARTBEAT=none` there is none.
 fn foreign_heartbeat(record: &Record, trouble: bool) -> io::Result<Broken> {
+    let variant = env::var("HEARTBEAT").unwrap_or_default();
+    let is_delayed = variant == "delayed" && trouble;
+    let mut kinds = vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["b", "r1-2"])];
+    if is_delayed {
+        kinds[0].ahead_ms = CLOCK_STEP_MS;
+    }
     let layout = Layout {
         planners: 1,
-        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
+        kinds,
         proxied: false,
     };
-    let deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    let mut deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    let mut delayed = None;
+    if is_delayed {
+        record.add("worker 0 was born while the time of day was ahead, which is over");
+        deployment.workers[0].crash();
+        delayed = Some(deployment.workers[0].last_heartbeat());
+        thread::sleep(Duration::from_millis(50));
+        let next = kind("i-7f3a91c9", &["a", "r1-1"]);
+        deployment.workers[0] = deployment.worker(0, next, "the next worker 0")?;
+        thread::sleep(seconds(2));
+    }
     for round in 0..3 {
-        let id = format!("5c0e7a21d94b36f{round}");
+        // It keeps half of worker 1 busy, so that the next job goes to worker 0 and fits on both.
+        let filler = "{\"spec\":\"3000\",\"steps\":[{\"count\":1,\"cpu\":10000,\"mem_mb\":64,\
+                      \"estimate_ms\":3000,\"required_label\":\"b\"}],\"best_effort\":true}";
+        let id = format!("00000000000000b{round}");
+        let filling = ask_aside(&deployment, 0, &id, filler, seconds(20));
+        if !wait(seconds(3), || deployment.workers[1].active() == 1) {
+            return Err(io::Error::other("the first job did not begin"));
+        }
+        thread::sleep(Duration::from_millis(300));
         let body = "{\"spec\":\"1500\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\
                     \"estimate_ms\":1500}],\"best_effort\":true}";
-        let client = ask_aside(&deployment, 0, &id, body, seconds(6));
-        let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
-        if !wait(seconds(3), is_begun) {
-            return Err(io::Error::other("the job did not begin"));
+        let id = format!("5c0e7a21d94b36f{round}");
+        let client = ask_aside(&deployment, 0, &id, body, seconds(20));
+        if !wait(seconds(3), || deployment.workers[0].active() == 1) {
+            return Err(io::Error::other("the job did not begin on worker 0"));
         }
         thread::sleep(Duration::from_millis(300));
-        let place = usize::from(deployment.workers[1].active() > 0);
         if trouble {
-            let worker = &deployment.workers[place];
-            worker.leave_unanswered(LEFT_CALLS);
-            let is_time = || worker.is_unanswered_since(FOREIGN_AFTER);
-            if !wait(seconds(1), is_time) {
-                return Err(io::Error::other("the worker was not called"));
-            }
-            if env::var("FOREIGN").as_deref() == Ok("0") {
-                drop(client.join());
-                thread::sleep(seconds(3));
-                continue;
-            }
-            let address = SocketAddr::new(deployment.ip(200), 8165);
-            let body = worker.heartbeat_body("unnamed", address, unix_ms());
-            let control = deployment.control(place);
-            let path = "/-/instances/i-0000ffff";
-            let reply = call(control, "PUT", path, &[], &body, seconds(1));
-            let status = reply.map_or("no answer".to_owned(), |r| r.status.to_string());
-            record.add(format!("another writer: PUT {path} at runner {place} {body}: {status}"));
+            disturb(&deployment, 0, &variant, delayed.as_ref())?;
         }
         drop(client.join());
-        thread::sleep(seconds(3));
+        drop(filling.join());
+        thread::sleep(seconds(2));
     }
     let seen = deployment.seen.lock().unwrap().clone();
-    if seen.len() < 3 {
-        return Err(io::Error::other("not all jobs ran"));
-    }
     Ok(twice(&seen, record.now()))
 }
 
+/// Has a worker leave calls unanswered, and meanwhile sends a heartbeat to the daemon beside it.
+fn disturb(
+    deployment: &Deployment,
+    place: usize,
+    variant: &str,
+    delayed: Option<&(String, String)>,
+) -> io::Result<()> {
+    let worker = &deployment.workers[place];
+    worker.leave_unanswered(LEFT_CALLS);
+    if !wait(seconds(1), || worker.is_unanswered_since(FOREIGN_AFTER)) {
+        return Err(io::Error::other("the worker was not called"));
+    }
+    if variant == "none" {
+        return Ok(());
+    }
+    let (sender, (path, body)) = match delayed {
+        Some(heartbeat) => ("an earlier incarnation", heartbeat.clone()),
+        None => {
+            let address = SocketAddr::new(deployment.ip(200), 8165);
+            let body = worker.heartbeat_body("unnamed", address, unix_ms());
+            ("another writer", ("/-/instances/i-0000ffff".to_owned(), body))
+        }
+    };
+    let reply = call(deployment.control(place), "PUT", &path, &[], &body, seconds(1));
+    let status = reply.map_or("no answer".to_owned(), |r| r.status.to_string());
+    let line = format!("{sender}: PUT {path} at the daemon beside worker {place} {body}: {status}");
+    deployment.record.add(line);
+    Ok(())
+}
+
 /// Tasks of 4.5 s, and others that start when these are done.
 const LONG_JOB: &str = "{\"spec\":\"4500,3000\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\
     \"estimate_ms\":4500},{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":3000,\
@@ -132,7 +170,7 @@
     };
     let deployment = Deployment::start(record, layout, |_| Ok(()))?;
     let id = "5c0e7a21d94b36f8";
-    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(15));
+    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(20));
     let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
     if !wait(seconds(3), is_begun) {
         return Err(io::Error::other("the job did not begin"));
@@ -201,7 +239,7 @@
     };
     let deployment = Deployment::start(record, layout, |_| Ok(()))?;
     let id = "5c0e7a21d94b36f8";
-    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(15));
+    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(20));
     let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
     if !wait(seconds(3), is_begun) {
         return Err(io::Error::other("the job did not begin"));
@@ -213,7 +251,7 @@
     let is_sent_again = first.is_none_or(|r| r.status == 502 || r.status == 504);
     if trouble && is_sent_again {
         thread::sleep(RESEND);
-        let again = ask_aside(&deployment, 0, id, LONG_JOB, seconds(13));
+        let again = ask_aside(&deployment, 0, id, LONG_JOB, seconds(18));
         drop(again.join());
     } else {
         thread::sleep(seconds(5));
@@ -243,7 +281,7 @@
     }
     let body = "{\"spec\":\"300\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\
                 \"estimate_ms\":300,\"required_label\":\"a\"}],\"best_effort\":true}";
-    let client = ask_aside(&deployment, 0, "5c0e7a21d94b36f8", body, seconds(4));
+    let client = ask_aside(&deployment, 0, "5c0e7a21d94b36f8", body, seconds(20));
     if trouble {
         thread::sleep(Duration::from_millis(30));
         deployment.workers[0].crash();
--- a/review/6/stand-in/deployment.rs
+++ b/review/6/stand-in/deployment.rs
@@ -61,6 +61,7 @@
         labels: labels.iter().map(|l| (*l).to_owned()).collect(),
         cpu: 16_000,
         mem_mb: 65_536,
+        ahead_ms: 0,
     }
 }
 
--- a/review/6/stand-in/worker.rs
+++ b/review/6/stand-in/worker.rs
@@ -32,6 +32,8 @@
     pub labels: Vec<String>,
     pub cpu: u64,
     pub mem_mb: u64,
+    /// By how much the time of day on its machine is ahead as it starts.
+    pub ahead_ms: u64,
 }
 
 /// A run as the worker saw it; times are microseconds since the case began.
@@ -110,12 +112,13 @@
         record: &Record,
         seen: &AllSeen,
     ) -> io::Result<Self> {
+        let born = unix_ms() + kind.ahead_ms;
         let shared = Arc::new(Shared {
             kind,
             name: name.to_owned(),
             addr,
             runner,
-            born: unix_ms(),
+            born,
             begin: Instant::now(),
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -168,6 +171,14 @@
         self.shared.state.lock().unwrap().active.len()
     }
 
+    /// Returns the path and the body of the last heartbeat, as one that was delayed on its way.
+    pub fn last_heartbeat(&self) -> (String, String) {
+        let shared = &self.shared;
+        let sequence = shared.state.lock().unwrap().sequence;
+        let body = shared.body(&shared.kind.service, shared.addr, shared.born, sequence);
+        (format!("/-/instances/{}", shared.kind.id), body)
+    }
+
     /// Returns the body of a heartbeat with these words in place of its own.
     pub fn heartbeat_body(&self, service: &str, address: SocketAddr, born: u64) -> String {
         self.shared.body(service, address, born, 1)
