review: planners don't follow the store to another address

The case shows CONFIG: after the settings name another address of the store, planners keep the old one, and no later configuration comes in force.

--- a/review/6/stand-in/cases.rs
+++ b/review/6/stand-in/cases.rs
@@ -6,7 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::deployment::{Deployment, Layout, ask, ask_aside, kind, runner_name, wait};
+use crate::deployment::{
+    Deployment, HOST, Layout, ask, ask_aside, config, kind, runner_name, wait,
+};
 use crate::http::{Reply, call};
 use crate::proxy::Proxy;
 use crate::record::Record;
@@ -16,6 +18,9 @@
 const CANCEL: u64 = 3_000_000;
 const STOP: u64 = 50_000;
 
+/// `config_apply_ms`.
+const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
+
 /// `retransmit_ms`.
 const RESEND: Duration = Duration::from_millis(1_300);
 
@@ -39,6 +44,7 @@
         "foreign-heartbeat" => foreign_heartbeat(record, trouble),
         "cancel-elsewhere" => cancel_elsewhere(record, trouble),
         "cancelled-again" => cancelled_again(record, trouble),
+        "store-moved" => store_moved(record, trouble),
         "kind-changed" => kind_changed(record, trouble),
         other => Err(io::Error::other(format!("there is no case {other}"))),
     }
@@ -301,3 +307,48 @@
     let broken = broken.map(|s| format!("{} started on {}, which has {:?}", s.task, s.worker, s.labels));
     Ok(broken.collect())
 }
+
+/// CONFIG: the settings name another address of the store, and the configuration changes there.
+fn store_moved(record: &Record, trouble: bool) -> io::Result<Broken> {
+    let layout = Layout {
+        planners: 3,
+        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
+        proxied: false,
+    };
+    let mut deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    if trouble {
+        deployment.move_store()?;
+    }
+    thread::sleep(seconds(8));
+    deployment.store.put("op/config", &config(8, "zemo114"));
+    let acknowledged = record.now();
+    record.add("the operator's version 8 is acknowledged: it drops /lohu930/ and adds /zemo114/");
+    let mut broken = Vec::new();
+    for round in 0..3 {
+        thread::sleep(CONFIG_APPLY * 2);
+        for planner in 0..3 {
+            let late = (record.now() - acknowledged) / 1_000;
+            let mut look = |prefix: &str, allowed: u16| {
+                let addr = deployment.callers(planner);
+                let headers = [("Host", HOST.to_owned())];
+                let reply = call(addr, "GET", prefix, &headers, "", seconds(2));
+                let status = reply.map_or(0, |r| r.status);
+                record.add(format!("client: GET {prefix} at planner {planner} is answered {status}"));
+                if status != allowed {
+                    let what = format!("GET {prefix} at planner {planner} answered {status}");
+                    broken.push(format!("{what} {late} ms after the ack"));
+                }
+            };
+            look("/zemo114/", 200);
+            look("/lohu930/", 404);
+        }
+        let body = "{\"spec\":\"100\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\
+                    \"estimate_ms\":100}],\"best_effort\":true}";
+        let id = format!("5c0e7a21d94b36f{round}");
+        let reply = deployment.ask(0, "POST", &id, body, seconds(4));
+        if reply.is_some_and(|r| r.status == 200) {
+            broken.push(format!("job {id} was run with a dropped route"));
+        }
+    }
+    Ok(broken)
+}
--- a/review/6/stand-in/deployment.rs
+++ b/review/6/stand-in/deployment.rs
@@ -90,7 +90,7 @@
         let ip = |host: u8| IpAddr::from([127, net[0], net[1], host]);
         let shown = layout.proxied.then_some(PROXY);
         let store = Store::start(SocketAddr::new(ip(1), 8169), shown)?;
-        store.put("op/config", &config());
+        store.put("op/config", &config(7, "lohu930"));
         let mut this = Self {
             record: record.clone(),
             seen: AllSeen::default(),
@@ -157,6 +157,26 @@
         SocketAddr::new(self.planners[planner].ip, CALLERS)
     }
 
+    /// Moves the store to another address: it is served there, the settings files name it, and the
+    /// planners are told by SIGHUP. The old address is left a while later.
+    pub fn move_store(&mut self) -> io::Result<()> {
+        let next = self.store.serve_at(SocketAddr::new(self.ip(2), 8169))?;
+        let (old, new) = (self.store.addr.to_string(), next.addr.to_string());
+        for process in self.planners.iter().chain(&self.runners) {
+            let text = fs::read_to_string(&process.settings)?;
+            fs::write(&process.settings, text.replace(&old, &new))?;
+        }
+        for planner in &self.planners {
+            planner.hang_up()?;
+        }
+        self.record.add(format!("the store is at {new}; all settings say so, SIGHUP to planners"));
+        thread::sleep(Duration::from_secs(3));
+        self.store.leave();
+        self.record.add(format!("nothing is served at {old} any more"));
+        self.store = next;
+        Ok(())
+    }
+
     fn wait_until_served(&self) -> io::Result<()> {
         let runners = self.runners.len() as u64;
         let until = Instant::now() + Duration::from_secs(15);
@@ -250,6 +270,18 @@
         Ok(())
     }
 
+    /// Sends SIGHUP.
+    fn hang_up(&self) -> io::Result<()> {
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let status = Command::new("kill").args(["-HUP", &child.id().to_string()]).status()?;
+        if status.success() {
+            return Ok(());
+        }
+        Err(io::Error::other("SIGHUP was not sent"))
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -295,14 +327,17 @@
     Err(io::Error::other("no free addresses"))
 }
 
-fn config() -> String {
-    "{\"version\":7,\"routes\":[{\"name\":\"lohu930\",\"host\":\"nony24.example\",\
-     \"prefix\":\"/lohu930/\",\"kind\":\"non_idempotent\",\"timeout_ms\":20000,\
-     \"target_duration_ms\":2000,\"priority\":0,\"service\":\"taller\",\"max_attempts\":3,\
-     \"slack_factor\":1.6}],\"services\":[{\"name\":\"taller\",\"health_path\":\"/healthz\",\
-     \"max_connections\":64,\"enforce_limits\":false}],\"limits\":{\"max_header_bytes\":16384,\
-     \"max_body_bytes\":262144}}"
-        .to_owned()
+/// Returns a configuration with one route.
+pub fn config(version: u64, route: &str) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"{route}\",\
+         \"host\":\"nony24.example\",\"prefix\":\"/{route}/\",\"kind\":\"non_idempotent\",\
+         \"timeout_ms\":20000,\"target_duration_ms\":2000,\"priority\":0,\
+         \"service\":\"taller\",\"max_attempts\":3,\"slack_factor\":1.6}}],\
+         \"services\":[{{\"name\":\"taller\",\"health_path\":\"/healthz\",\
+         \"max_connections\":64,\"enforce_limits\":false}}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":262144}}}}"
+    )
 }
 
 /// Returns settings as the pages show them.
--- a/review/6/stand-in/store.rs
+++ b/review/6/stand-in/store.rs
@@ -40,19 +40,38 @@
 #[derive(Clone)]
 pub struct Store {
     shared: Arc<Shared>,
+    server: Server,
     pub addr: SocketAddr,
 }
 
 impl Store {
     pub fn start(addr: SocketAddr, shown_port: Option<u16>) -> io::Result<Self> {
-        let shared = Arc::new(Shared {
+        let shared = Shared {
             shown_port,
             ..Shared::default()
-        });
+        };
+        Self::serve(addr, Arc::new(shared))
+    }
+
+    fn serve(addr: SocketAddr, shared: Arc<Shared>) -> io::Result<Self> {
         let answering = Arc::clone(&shared);
         let server = Server::start(addr, move |request| Some(answering.answer(&request)))?;
         let addr = server.addr();
-        Ok(Self { shared, addr })
+        Ok(Self {
+            shared,
+            server,
+            addr,
+        })
+    }
+
+    /// Serves the same at another address as well, until the old one is left.
+    pub fn serve_at(&self, addr: SocketAddr) -> io::Result<Self> {
+        Self::serve(addr, Arc::clone(&self.shared))
+    }
+
+    /// Ends the service at this address.
+    pub fn leave(&self) {
+        self.server.end();
     }
 
     /// Writes a key as the operator does.
