--- a/review/6/stand-in/cases.rs
+++ b/review/6/stand-in/cases.rs
@@ -2,12 +2,12 @@
 
 use std::env;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
 use crate::deployment::{
-    Deployment, HOST, Layout, ask, ask_aside, config, kind, runner_name, wait,
+    Deployment, HOST, Layout, ask_aside, config, kind, runner_name, wait,
 };
 use crate::http::{Reply, call};
 use crate::proxy::Proxy;
@@ -42,7 +42,6 @@
 pub fn play(case: &str, record: &Record, trouble: bool) -> io::Result<Broken> {
     match case {
         "foreign-heartbeat" => foreign_heartbeat(record, trouble),
-        "cancel-elsewhere" => cancel_elsewhere(record, trouble),
         "cancelled-again" => cancelled_again(record, trouble),
         "store-moved" => store_moved(record, trouble),
         "kind-changed" => kind_changed(record, trouble),
@@ -79,7 +78,8 @@
 
 /// TWICE: a heartbeat that names no worker to use arrives while a worker leaves calls unanswered for a
 /// moment. It is of another writer; with `HEARTBEAT=delayed` in the environment it is one of the worker's
-/// earlier incarnation, and with `HEARTBEAT=none` there is none.
+/// earlier incarnation, with `HEARTBEAT=release` the first one of the successor of a worker that drains, and
+/// with `HEARTBEAT=none` there is none.
 fn foreign_heartbeat(record: &Record, trouble: bool) -> io::Result<Broken> {
     let variant = env::var("HEARTBEAT").unwrap_or_default();
     let is_delayed = variant == "delayed" && trouble;
@@ -103,7 +103,8 @@
         deployment.workers[0] = deployment.worker(0, next, "the next worker 0")?;
         thread::sleep(seconds(2));
     }
-    for round in 0..3 {
+    let rounds = if variant == "release" { 1 } else { 3 };
+    for round in 0..rounds {
         // It keeps half of worker 1 busy, so that the next job goes to worker 0 and fits on both.
         let filler = "{\"spec\":\"3000\",\"steps\":[{\"count\":1,\"cpu\":10000,\"mem_mb\":64,\
                       \"estimate_ms\":3000,\"required_label\":\"b\"}],\"best_effort\":true}";
@@ -140,6 +141,9 @@
     delayed: Option<&(String, String)>,
 ) -> io::Result<()> {
     let worker = &deployment.workers[place];
+    if variant == "release" {
+        worker.drain();
+    }
     worker.leave_unanswered(LEFT_CALLS);
     if !wait(seconds(1), || worker.is_unanswered_since(FOREIGN_AFTER)) {
         return Err(io::Error::other("the worker was not called"));
@@ -147,6 +151,15 @@
     if variant == "none" {
         return Ok(());
     }
+    if variant == "release" {
+        let next = kind("i-7f3a91d0", &["a", "r1-1"]);
+        deployment.record.add("its successor begins at another address of the same machine");
+        let address = SocketAddr::new(deployment.ip(95), 8165);
+        let next = deployment.worker_at(place, address, next, "the successor of worker 0")?;
+        thread::sleep(seconds(2));
+        next.crash();
+        return Ok(());
+    }
     let (sender, (path, body)) = match delayed {
         Some(heartbeat) => ("an earlier incarnation", heartbeat.clone()),
         None => {
@@ -167,46 +180,6 @@
     \"estimate_ms\":4500},{\"count\":2,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":3000,\
     \"after\":[0]}],\"best_effort\":true}";
 
-/// UNASKED: the connection with a cancelling is reset, and the retry reaches another planner.
-fn cancel_elsewhere(record: &Record, trouble: bool) -> io::Result<Broken> {
-    let layout = Layout {
-        planners: 2,
-        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
-        proxied: false,
-    };
-    let deployment = Deployment::start(record, layout, |_| Ok(()))?;
-    let id = "5c0e7a21d94b36f8";
-    let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(20));
-    let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
-    if !wait(seconds(3), is_begun) {
-        return Err(io::Error::other("the job did not begin"));
-    }
-    thread::sleep(Duration::from_millis(500));
-    if trouble {
-        // Nothing of this request reaches a planner.
-        let reset = reset_listener(&deployment)?;
-        let patience = seconds(4);
-        let reply = ask(record, reset, 0, "DELETE", id, "", patience);
-        if reply.is_some() {
-            return Err(io::Error::other("the connection was not reset"));
-        }
-    }
-    let planner = usize::from(trouble);
-    let reply = deployment.ask(planner, "DELETE", id, "", seconds(4));
-    let acknowledged = acknowledged(record, reply)?;
-    drop(client.join());
-    thread::sleep(seconds(1));
-    Ok(ran_on(&deployment, acknowledged))
-}
-
-/// Returns an address at which connections are reset before anything is read.
-fn reset_listener(deployment: &Deployment) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind(SocketAddr::new(deployment.ip(201), 0))?;
-    let addr = listener.local_addr()?;
-    thread::spawn(move || drop(listener.accept()));
-    Ok(addr)
-}
-
 /// Returns when a cancelling was acknowledged.
 fn acknowledged(record: &Record, reply: Option<Reply>) -> io::Result<u64> {
     let is_ack = |r: &Reply| r.status / 100 == 2 || r.status == 410;
--- a/review/6/stand-in/deployment.rs
+++ b/review/6/stand-in/deployment.rs
@@ -125,8 +125,18 @@
 
     /// Begins the life of a worker beside a runner.
     pub fn worker(&self, place: usize, kind: Kind, name: &str) -> io::Result<Worker> {
-        let (app, runner) = (self.app(place), self.control(place));
-        Worker::start(kind, name, app, runner, &self.record, &self.seen)
+        self.worker_at(place, self.app(place), kind, name)
+    }
+
+    /// Begins the life of a worker beside a runner at an address.
+    pub fn worker_at(
+        &self,
+        place: usize,
+        addr: SocketAddr,
+        kind: Kind,
+        name: &str,
+    ) -> io::Result<Worker> {
+        Worker::start(kind, name, addr, self.control(place), &self.record, &self.seen)
     }
 
     pub fn app(&self, place: usize) -> SocketAddr {
--- a/review/6/stand-in/worker.rs
+++ b/review/6/stand-in/worker.rs
@@ -70,6 +70,7 @@
     over: BTreeMap<String, u64>,
     sequence: u64,
     is_gone: bool,
+    is_draining: bool,
     /// How many of the next calls get no answer.
     unanswered: u32,
     /// When the first of them came in.
@@ -142,6 +143,12 @@
         Ok(Self { shared, server })
     }
 
+    /// Says that it leaves, and goes on with what it runs.
+    pub fn drain(&self) {
+        self.shared.state.lock().unwrap().is_draining = true;
+        self.shared.heartbeat();
+    }
+
     /// Leaves the next calls unanswered; they are carried out late.
     pub fn leave_unanswered(&self, calls: u32) {
         let mut state = self.shared.state.lock().unwrap();
@@ -192,9 +199,11 @@
 
     fn body(&self, service: &str, address: SocketAddr, born: u64, sequence: u64) -> String {
         let labels: Vec<String> = self.kind.labels.iter().map(|l| quote(l)).collect();
+        let is_draining = self.state.lock().unwrap().is_draining;
+        let state = if is_draining { "draining" } else { "ready" };
         format!(
             "{{\"service\":{},\"address\":\"{address}\",\"zone\":\"z0\",\"version\":\"v1\",\
-             \"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\
+             \"slots\":8,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\
              \"mem_mb\":{},\"gpu\":0}},\"labels\":[{}],\"clock_ms\":{},\"sequence\":{sequence},\
              \"born\":{born}}}",
             quote(service),
