--- a/review/6/stand-in/cases.rs
+++ b/review/6/stand-in/cases.rs
@@ -44,6 +44,7 @@
         "foreign-heartbeat" => foreign_heartbeat(record, trouble),
         "cancelled-again" => cancelled_again(record, trouble),
         "store-moved" => store_moved(record, trouble),
+        "capital-digits" => capital_digits(record, trouble),
         "kind-changed" => kind_changed(record, trouble),
         other => Err(io::Error::other(format!("there is no case {other}"))),
     }
@@ -325,3 +326,30 @@
     }
     Ok(broken)
 }
+
+/// CONFIG: clients write the digits of their ids in capitals.
+fn capital_digits(record: &Record, trouble: bool) -> io::Result<Broken> {
+    let layout = Layout {
+        planners: 3,
+        kinds: vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["a", "r1-2"])],
+        proxied: false,
+    };
+    let deployment = Deployment::start(record, layout, |_| Ok(()))?;
+    let body = "{\"spec\":\"100\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\
+                \"estimate_ms\":100}],\"best_effort\":true}";
+    let mut broken = Vec::new();
+    for planner in 0..3 {
+        let mut id = format!("5c0e7a21d94b36f{planner}");
+        if trouble {
+            id = id.to_uppercase();
+        }
+        let reply = deployment.ask(planner, "POST", &id, body, seconds(20));
+        let Some(reply) = reply else {
+            return Err(io::Error::other("no answer"));
+        };
+        if reply.status == 404 {
+            broken.push(format!("POST {id} at planner {planner} answered 404, the route is there"));
+        }
+    }
+    Ok(broken)
+}
