--- a/review/6/stand-in/deployment.rs
+++ b/review/6/stand-in/deployment.rs
@@ -285,7 +285,8 @@
         let Some(child) = &self.child else {
             return Ok(());
         };
-        let status = Command::new("kill").args(["-HUP", &child.id().to_string()]).status()?;
+        let command = format!("kill -HUP {}", child.id());
+        let status = Command::new("sh").args(["-c", &command]).status()?;
         if status.success() {
             return Ok(());
         }
