--- a/review/6/stand-in/cases.rs
+++ b/review/6/stand-in/cases.rs
@@ -12,7 +12,7 @@
 use crate::http::{Reply, call};
 use crate::proxy::Proxy;
 use crate::record::Record;
-use crate::worker::{Seen, unix_ms};
+use crate::worker::{Kind, Seen, unix_ms};
 
 /// `cancel_ms` and `stop_timeout_ms`, in microseconds.
 const CANCEL: u64 = 3_000_000;
@@ -77,6 +77,12 @@
     broken
 }
 
+/// Returns a kind of worker; one of eight has the label `a`.
+fn one_of_eight(place: u32) -> Kind {
+    let label = if place == 0 { "a" } else { "b" };
+    kind(&format!("i-7f3a91c{place}"), &[label, &format!("r1-{}", place / 3)])
+}
+
 /// TWICE: a heartbeat that names no worker to use arrives while a worker leaves calls unanswered for a
 /// moment. It is of another writer; with `HEARTBEAT=delayed` in the environment it is one of the worker's
 /// earlier incarnation, with `HEARTBEAT=release` the first one of the successor of a worker that drains, and
@@ -84,7 +90,7 @@
 fn foreign_heartbeat(record: &Record, trouble: bool) -> io::Result<Broken> {
     let variant = env::var("HEARTBEAT").unwrap_or_default();
     let is_delayed = variant == "delayed" && trouble;
-    let mut kinds = vec![kind("i-7f3a91c0", &["a", "r1-1"]), kind("i-7f3a91c1", &["b", "r1-2"])];
+    let mut kinds: Vec<Kind> = (0..8).map(one_of_eight).collect();
     if is_delayed {
         kinds[0].ahead_ms = CLOCK_STEP_MS;
     }
@@ -100,18 +106,20 @@
         deployment.workers[0].crash();
         delayed = Some(deployment.workers[0].last_heartbeat());
         thread::sleep(Duration::from_millis(50));
-        let next = kind("i-7f3a91c9", &["a", "r1-1"]);
+        let next = kind("i-7f3a91c9", &["a", "r1-0"]);
         deployment.workers[0] = deployment.worker(0, next, "the next worker 0")?;
         thread::sleep(seconds(2));
     }
-    let rounds = if variant == "release" { 1 } else { 3 };
+    // What is delayed arrives once, and one worker is replaced.
+    let rounds = if is_delayed || variant == "release" { 1 } else { 3 };
     for round in 0..rounds {
-        // It keeps half of worker 1 busy, so that the next job goes to worker 0 and fits on both.
-        let filler = "{\"spec\":\"3000\",\"steps\":[{\"count\":1,\"cpu\":10000,\"mem_mb\":64,\
+        // It keeps more than half of the other workers busy, so that the next job goes to worker 0 and
+        // fits on all.
+        let filler = "{\"spec\":\"3000\",\"steps\":[{\"count\":7,\"anti_affinity\":1,\"cpu\":10000,\"mem_mb\":64,\
                       \"estimate_ms\":3000,\"required_label\":\"b\"}],\"best_effort\":true}";
         let id = format!("00000000000000b{round}");
         let filling = ask_aside(&deployment, 0, &id, filler, seconds(20));
-        if !wait(seconds(3), || deployment.workers[1].active() == 1) {
+        if !wait(seconds(3), || deployment.workers[1..].iter().all(|w| w.active() == 1)) {
             return Err(io::Error::other("the first job did not begin"));
         }
         thread::sleep(Duration::from_millis(300));
@@ -153,9 +161,9 @@
         return Ok(());
     }
     if variant == "release" {
-        let next = kind("i-7f3a91d0", &["a", "r1-1"]);
+        let next = kind("i-7f3a91d0", &["a", "r1-0"]);
         deployment.record.add("its successor begins at another address of the same machine");
-        let address = SocketAddr::new(deployment.ip(95), 8165);
+        let address = SocketAddr::new(deployment.ip(110), 8165);
         let next = deployment.worker_at(place, address, next, "the successor of worker 0")?;
         thread::sleep(seconds(2));
         next.crash();
@@ -192,10 +200,10 @@
 }
 
 /// Returns the starts and runs that are later after the ack of a cancelling than is allowed.
-fn ran_on(deployment: &Deployment, acknowledged: u64) -> Broken {
+fn ran_on(deployment: &Deployment, id: &str, acknowledged: u64) -> Broken {
     let mut broken = Vec::new();
     let now = deployment.record.now();
-    for run in deployment.seen.lock().unwrap().iter() {
+    for run in deployment.seen.lock().unwrap().iter().filter(|r| r.task.starts_with(id)) {
         let began = run.began.saturating_sub(acknowledged);
         if began > CANCEL {
             let late = began as f64 / 1e3;
@@ -220,7 +228,10 @@
     let deployment = Deployment::start(record, layout, |_| Ok(()))?;
     let id = "5c0e7a21d94b36f8";
     let client = ask_aside(&deployment, 0, id, LONG_JOB, seconds(20));
-    let is_begun = || deployment.workers.iter().any(|w| w.active() > 0);
+    // One job of four is cancelled.
+    let other = |n: u32| ask_aside(&deployment, n as usize % 2, &format!("00000000000000b{n}"), LONG_JOB, seconds(20));
+    let others: Vec<_> = (0..3).map(other).collect();
+    let is_begun = || deployment.seen.lock().unwrap().iter().any(|s| s.task.starts_with(id));
     if !wait(seconds(3), is_begun) {
         return Err(io::Error::other("the job did not begin"));
     }
@@ -236,20 +247,17 @@
     } else {
         thread::sleep(seconds(5));
     }
-    Ok(ran_on(&deployment, acknowledged))
+    for other in others {
+        drop(other.join());
+    }
+    Ok(ran_on(&deployment, id, acknowledged))
 }
 
 /// ROUTE: a start is under way while its worker is replaced by one of another kind.
 fn kind_changed(record: &Record, trouble: bool) -> io::Result<Broken> {
-    // One worker of eight has the label.
-    let of_place = |place: u32| {
-        let rack = format!("r1-{}", place / 3);
-        let label = if place == 0 { "a" } else { "b" };
-        kind(&format!("i-7f3a91c{place}"), &[label, &rack])
-    };
     let layout = Layout {
         planners: 1,
-        kinds: (0..8).map(of_place).collect(),
+        kinds: (0..8).map(one_of_eight).collect(),
         proxied: true,
     };
     let proxy = Proxy::new();
--- a/review/6/stand-in/deployment.rs
+++ b/review/6/stand-in/deployment.rs
@@ -360,21 +360,22 @@
     seeds: &[IpAddr],
 ) -> String {
     let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}:{CONTROL}\"")).collect();
-    let (class, serves) = if role == "planner" {
-        ("edge", "\"edge\",\"control\"")
+    // Workers and their daemons are in another zone than planners.
+    let (class, serves, zone) = if role == "planner" {
+        ("edge", "\"edge\",\"control\"", "z0")
     } else {
-        ("side", "\"side\"")
+        ("side", "\"side\"", "z1")
     };
     let seeds = seeds.join(",");
     format!(
         "node = \"{class}-{ip}\"\nrole = \"{role}\"\nmachine_class = \"{class}\"\n\
-         serves = [{serves}]\nip = \"{ip}\"\nzone = \"z0\"\nregion = \"r0\"\n\
+         serves = [{serves}]\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"r0\"\n\
          internal_ports = [{links},7735]\nseeds = [{seeds}]\nbootstrap = true\n\
          tolerance_counted = false\ndiscovery = \"local\"\nentry = \"vip\"\n\
          heartbeat_ms = 1500\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\
          \"sched\",\"platform\",\"advice\",\"upkeep\",\"sharing\"]\n\
          control_mode = \"invocation\"\n\
-         [zones]\nz0 = \"r0\"\n\
+         [zones]\nz0 = \"r0\"\nz1 = \"r0\"\n\
          [bind_addresses]\nfrontend = \"{ip}:{CALLERS}\"\nreadiness = \"{ip}:{READY}\"\n\
          control_plane = \"{ip}:{CONTROL}\"\n\
          [limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\n\
--- a/review/6/stand-in/main.rs
+++ b/review/6/stand-in/main.rs
@@ -29,6 +29,13 @@
     let line = if trouble { "with the disruption" } else { "without the disruption" };
     record.add(format!("case {case}, {line}"));
     let outcome = cases::play(case, &record, trouble);
+    let count = |counter: &std::sync::atomic::AtomicU64| counter.load(std::sync::atomic::Ordering::Relaxed);
+    record.add(format!(
+        "workers got {} calls and left {} unanswered; {} pieces went through proxies",
+        count(&worker::CALLS),
+        count(&worker::UNANSWERED_CALLS),
+        count(&proxy::PIECES)
+    ));
     let (line, code) = match outcome {
         Ok(broken) if broken.is_empty() => ("the rule held".to_owned(), 0),
         Ok(broken) => (format!("the rule was broken: {}", broken.join("; ")), 1),
--- a/review/6/stand-in/proxy.rs
+++ b/review/6/stand-in/proxy.rs
@@ -2,13 +2,16 @@
 
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::deployment::{LINKS, PROXY};
 
+/// How many pieces went through proxies, each at least a packet.
+pub static PIECES: AtomicU64 = AtomicU64::new(0);
+
 /// A proxy; what a planner sends to one of its runners can be held up.
 #[derive(Clone)]
 pub struct Proxy {
@@ -60,6 +63,7 @@
             thread::spawn(move || {
                 let mut chunk = [0; 16 << 10];
                 while let Ok(count @ 1..) = from.read(&mut chunk) {
+                    PIECES.fetch_add(1, Ordering::Relaxed);
                     if to_runner {
                         this.wait(&is_watched);
                     } else if this.is_named(&chunk[..count]) {
--- a/review/6/stand-in/worker.rs
+++ b/review/6/stand-in/worker.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -24,6 +25,10 @@
 /// How long the connection of a call without answer stays open.
 const UNANSWERED: Duration = Duration::from_millis(500);
 
+/// How many calls workers got, and how many of them they left unanswered.
+pub static CALLS: AtomicU64 = AtomicU64::new(0);
+pub static UNANSWERED_CALLS: AtomicU64 = AtomicU64::new(0);
+
 /// What a worker is.
 #[derive(Debug, Clone)]
 pub struct Kind {
@@ -202,7 +207,7 @@
         let is_draining = self.state.lock().unwrap().is_draining;
         let state = if is_draining { "draining" } else { "ready" };
         format!(
-            "{{\"service\":{},\"address\":\"{address}\",\"zone\":\"z0\",\"version\":\"v1\",\
+            "{{\"service\":{},\"address\":\"{address}\",\"zone\":\"z1\",\"version\":\"v1\",\
              \"slots\":8,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{},\
              \"mem_mb\":{},\"gpu\":0}},\"labels\":[{}],\"clock_ms\":{},\"sequence\":{sequence},\
              \"born\":{born}}}",
@@ -282,7 +287,9 @@
                 return None;
             }
             let is_left = state.unanswered > 0;
-            if is_left {
+            CALLS.fetch_add(1, Ordering::Relaxed);
+        if is_left {
+            UNANSWERED_CALLS.fetch_add(1, Ordering::Relaxed);
                 state.unanswered -= 1;
                 state.first_unanswered.get_or_insert(Instant::now());
             }
