Runners: a report of another incarnation ends no run

What callers saw: tasks of their jobs ran twice at the same time. While an upstream left two calls unanswered and went on with its task, a report of another program, a late report of an earlier incarnation that was dated later, or the first report of its successor arrived at its runner.

Cause: a report that was dated later took the place of an upstream as soon as one poll had no answer, and with the place all runs counted as lapsed at once, whatever was left of their lease. Planners start the tasks of a run that a runner calls lapsed elsewhere without waiting.

What had counted against the upstream was not logged; "upstream replaced" tells it now.

Change: who gets work and when runs are over are two questions. An upstream loses its place when it has announced its exit, when its address refuses connections or is another one's, when its lease has expired in silence, or when it never answered; any other report is kept and the upstream polled. Runs that are left behind are detached: their ends are told when the lease there has certainly expired, or another incarnation has answered at the same address. They take no room, keep new links closed if their own was lost, and go on if their upstream has its place back.

Refused connections, announced exits, reports under the same id and second replacements were broken in the same way.

--- a/crates/chervilring_core/src/runs/runner/event.rs
+++ b/crates/chervilring_core/src/runs/runner/event.rs
@@ -14,6 +14,19 @@
     RunOut,
 }
 
+/// What shows that an upstream serves no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GoneReason {
+    /// It has announced its exit.
+    Left,
+    /// No process listens at its address.
+    NotListening,
+    /// Another incarnation answers at its address.
+    AddressTaken,
+    /// It has been silent until its lease expired.
+    LeaseExpired,
+}
+
 /// A decision of the runner, or a change of what it knows, together with its cause.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RunnerEvent {
@@ -98,6 +111,19 @@
         /// The upstream's total resources.
         capacity: Resources,
     },
+    /// An incarnation at another address or with another id took the place of the upstream.
+    UpstreamReplaced {
+        /// The upstream's id.
+        id: Name,
+        /// The id of the one that took its place.
+        next: Name,
+        /// Why the upstream was taken to serve no more; `None` if it had never answered.
+        reason: Option<GoneReason>,
+        /// The number of its runs, in any state.
+        runs: u32,
+        /// How long those that it may go on with are kept; zero if all have ended.
+        lease: Micros,
+    },
     /// The runner began or ceased to accept runs.
     AcceptingChanged {
         /// The upstream's id.
--- a/crates/chervilring_core/src/runs/runner/incarnations.rs
+++ b/crates/chervilring_core/src/runs/runner/incarnations.rs
@@ -1,10 +1,10 @@
 //! Incarnations of the upstream, and what happens to runs when one ends.
 
-use chervilring_wire::{RefuseReason, RunEnd, RunKey, Time};
+use chervilring_wire::{RunKey, Time};
 
 use super::event::RunnerEvent;
 use super::record::UpstreamRecord;
-use super::state::{Run, RunState, Runner, RunnerStep};
+use super::state::{RunState, Runner, RunnerStep};
 use super::upstream::{Availability, Report, Upstream};
 use crate::runs::speed::Speed;
 
@@ -21,13 +21,15 @@
             return true;
         };
         if report.incarnation != upstream.report.incarnation {
-            let is_successor = upstream.is_replaced_by(&report.incarnation);
-            if is_successor {
+            if upstream.is_replaceable() {
                 self.replace_incarnation(now, report);
-            } else {
-                self.unconfirmed = Some(report);
+                return true;
             }
-            return is_successor;
+            // The next poll shows whether the current one is still there.
+            upstream.next_poll = now;
+            self.unconfirmed = Some(report);
+            self.tick(now);
+            return false;
         }
         if report.sequence <= upstream.report.sequence {
             return true;
@@ -46,25 +48,6 @@
         true
     }
 
-    /// Lets the incarnation of a report take the place of the current one.
-    fn replace_incarnation(&mut self, now: Time, report: Report) {
-        // Calls address an upstream by its id, so the new incarnation may have started runs that were
-        // requested from the old one.
-        let id = &report.incarnation.id;
-        let is_same_id = self
-            .upstream
-            .as_ref()
-            .is_some_and(|u| u.report.incarnation.id == *id);
-        if !is_same_id {
-            self.end_incarnation(now);
-        }
-        self.begin_incarnation(now, report);
-        self.store_record(now);
-        if is_same_id {
-            self.reconcile_runs(now);
-        }
-    }
-
     /// Handles lists of another incarnation under the same id: it is the one that is there.
     pub(super) fn handle_restart(&mut self, now: Time, started_ms: u64) {
         let Some(upstream) = &self.upstream else {
@@ -73,30 +56,25 @@
         let mut incarnation = upstream.report.incarnation.clone();
         incarnation.started_ms = started_ms;
         let is_there = |report: &Report| report.incarnation == incarnation;
-        if let Some(report) = self.unconfirmed.take().filter(is_there) {
+        let reported = self.unconfirmed.take().filter(is_there);
+        let has_reported = reported.is_some();
+        if let Some(report) = reported {
             self.replace_incarnation(now, report);
-            return;
+        } else {
+            let report = Report {
+                incarnation,
+                sequence: 0,
+                clock: None,
+                ..upstream.report.clone()
+            };
+            self.begin_incarnation(now, report);
+            self.reconcile_runs(now);
         }
-        let report = Report {
-            incarnation,
-            sequence: 0,
-            clock: None,
-            ..upstream.report.clone()
-        };
-        self.begin_incarnation(now, report);
-        self.reconcile_runs(now);
-        // The new incarnation may offer another service or capacity, so it gets no runs before its
-        // first report.
         if let Some(upstream) = &mut self.upstream {
-            upstream.report_current = false;
-        }
-    }
-
-    /// Replaces an incarnation that is gone by the one that has reported meanwhile, if any has.
-    pub(super) fn replace_if_gone(&mut self, now: Time) {
-        let is_gone = self.upstream.as_ref().is_some_and(Upstream::is_gone);
-        if let Some(report) = self.unconfirmed.take_if(|_| is_gone) {
-            self.replace_incarnation(now, report);
+            upstream.last_answer = now;
+            // The new incarnation may offer another service or capacity, so it gets no runs before its
+            // first report.
+            upstream.report_current = has_reported;
         }
     }
 
@@ -128,6 +106,7 @@
         {
             upstream.report.state = Availability::Left;
             self.store_record(now);
+            self.replace_if_gone(now);
         }
         self.tick(now);
     }
@@ -151,21 +130,6 @@
         self.tick(now);
     }
 
-    /// Ends all runs of an incarnation that is gone.
-    fn end_incarnation(&mut self, now: Time) {
-        let is_claim = |r: &Run| r.claim.is_some();
-        let rows = self.runs.iter().filter(|(_, r)| is_claim(r));
-        let claims: Vec<RunKey> = rows.map(|(run, _)| *run).collect();
-        for run in claims {
-            self.abandon_queued(now, run, RefuseReason::Closed);
-        }
-        let runs: Vec<RunKey> = self.runs.keys().copied().collect();
-        for run in runs {
-            self.finish_run(now, run, RunEnd::Lapsed);
-        }
-        self.upstream = None;
-    }
-
     /// Marks the runs of the previous incarnation so that the lists of the new one decide about
     /// them.
     pub(super) fn reconcile_runs(&mut self, now: Time) {
@@ -179,7 +143,7 @@
                 continue;
             };
             match row.state {
-                RunState::Queued | RunState::Claimed(_) => {}
+                RunState::Queued | RunState::Claimed(_) | RunState::Detached(_) => {}
                 RunState::Starting if !row.stop_requested => {
                     row.maybe_started = true;
                     row.state = RunState::Unconfirmed(now);
--- a/crates/chervilring_core/src/runs/runner/lease.rs
+++ b/crates/chervilring_core/src/runs/runner/lease.rs
@@ -46,8 +46,13 @@
     /// Defers the expiry by the longest possible lease. Calls that carried an end on the clock of
     /// an earlier incarnation may have been carried out by this one.
     pub fn defer_expiry(&mut self, now: Time, longest: Micros) {
-        let slow = Micros((longest.0 as f64 / (1.0 - SLOW_CLOCK)) as u64);
-        self.earliest_expiry = now + slow + Micros::from_millis(1);
+        self.earliest_expiry = end_of_longest(now, longest);
+    }
+
+    /// Returns by when the lease has certainly expired if it is not extended from now on, also while the
+    /// clock is not known.
+    pub fn expires_by(&self, now: Time, longest: Micros) -> Time {
+        self.expires_at().min(end_of_longest(now, longest))
     }
 
     /// Returns when the lease has certainly expired, however slow the upstream's clock is.
@@ -60,3 +65,9 @@
         end.max(self.earliest_expiry)
     }
 }
+
+/// Returns when the longest lease has certainly expired that an upstream may be granted now.
+fn end_of_longest(now: Time, longest: Micros) -> Time {
+    let slow = Micros((longest.0 as f64 / (1.0 - SLOW_CLOCK)) as u64);
+    now + slow + Micros::from_millis(1)
+}
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -82,6 +82,8 @@
                     RunState::Unconfirmed(_) | RunState::Starting => {
                         self.mark_running(now, row.run);
                     }
+                    // Its upstream has its place back.
+                    RunState::Detached(_) => known.state = RunState::Running(now),
                     // It was to have ended with its lease, and has not.
                     RunState::Running(_) if known.stop_requested => self.stop_run(now, row.run),
                     _ => {}
@@ -96,6 +98,7 @@
         if !lists.has_more {
             self.finish_missing_runs(now, sent, lists);
         }
+        self.end_succeeded_runs(now);
         if let Some(upstream) = &mut self.upstream {
             // While unknown runs are active, the free resources are not known.
             upstream.runs_known = upstream.runs_known || !(has_unknown || lists.has_more);
--- a/crates/chervilring_core/src/runs/runner/mod.rs
+++ b/crates/chervilring_core/src/runs/runner/mod.rs
@@ -12,6 +12,7 @@
 mod lists;
 mod pace;
 mod record;
+mod replacement;
 mod retries;
 mod run_limits;
 mod run_times;
@@ -26,7 +27,7 @@
     CallOutcome, CallRefusal, ListedEnd, ListedRun, RunLists, UpstreamCall, UpstreamIncarnation,
 };
 pub use dialer::{DialAction, Dialer, PLANNERS_PER_RUNNER};
-pub use event::{ClaimEnd, RunnerEvent};
+pub use event::{ClaimEnd, GoneReason, RunnerEvent};
 pub use lease::Lease;
 pub use pace::{Progress, RunPace, expected_speed};
 pub use record::UpstreamRecord;
--- a/crates/chervilring_core/src/runs/runner/run_limits.rs
+++ b/crates/chervilring_core/src/runs/runner/run_limits.rs
@@ -21,10 +21,13 @@
 }
 
 impl Run {
-    /// Returns whether the upstream may have it active.
+    /// Returns whether the current upstream may have it active.
     fn may_be_active(&self) -> bool {
         match self.state {
-            RunState::Queued | RunState::Claimed(_) | RunState::Stopped(_) => false,
+            RunState::Queued
+            | RunState::Claimed(_)
+            | RunState::Stopped(_)
+            | RunState::Detached(_) => false,
             RunState::Unconfirmed(_)
             | RunState::Starting
             | RunState::Running(_)
--- a/crates/chervilring_core/src/runs/runner/state.rs
+++ b/crates/chervilring_core/src/runs/runner/state.rs
@@ -13,6 +13,7 @@
 use super::links::Link;
 use super::pace::RunPace;
 use super::record::UpstreamRecord;
+use super::replacement::Predecessor;
 use super::run_times::StoredRunTimes;
 use super::upstream::{Report, Upstream};
 use crate::runs::bounds::{MAX_ORPHAN_TIME, queue_timeout_bucket};
@@ -64,6 +65,8 @@
     Stopping,
     /// The upstream answered the stop at this time; its lists do not show the end yet.
     Stopped(Time),
+    /// Another incarnation has taken the place of its upstream, which may go on with it.
+    Detached(Predecessor),
 }
 
 /// A run.
@@ -135,6 +138,13 @@
     pub(super) prior_expiry: Time,
 }
 
+impl Run {
+    /// Returns whether it takes room of the upstream.
+    fn takes_room(&self) -> bool {
+        !matches!(self.state, RunState::Queued | RunState::Detached(_))
+    }
+}
+
 impl Runner {
     /// Creates a runner. `fencing_token` must be above that of the runner's earlier incarnations;
     /// if it is not, the upstream refuses calls and the token is raised.
@@ -315,7 +325,7 @@
         };
         let all = upstream.report.capacity;
         let less = |free: Resources, run: &Run| free.saturating_sub(&run.demand);
-        let taking = self.runs.values().filter(|r| r.state != RunState::Queued);
+        let taking = self.runs.values().filter(|r| r.takes_room());
         taking.fold(all, less)
     }
 
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -33,7 +33,9 @@
         row.limit_to(now + MAX_UNHEARD_TIME);
         match row.state {
             RunState::Queued | RunState::Claimed(_) => self.cancel_queued(now, run),
-            RunState::Starting | RunState::Unconfirmed(_) => row.stop_requested = true,
+            RunState::Starting | RunState::Unconfirmed(_) | RunState::Detached(_) => {
+                row.stop_requested = true;
+            }
             RunState::Running(_) => {
                 row.state = RunState::Stopping;
                 self.call_stop(run);
--- a/crates/chervilring_core/src/runs/runner/systems.rs
+++ b/crates/chervilring_core/src/runs/runner/systems.rs
@@ -1,6 +1,6 @@
 //! Periodic work of a runner: deadlines, and polls and lease of the upstream.
 
-use chervilring_wire::{Micros, RunEnd, RunKey, RunnerMessage, Time};
+use chervilring_wire::{Micros, RunKey, RunnerMessage, Time};
 
 use super::call::{CallOutcome, CallRefusal, UpstreamCall};
 use super::event::RunnerEvent;
@@ -28,6 +28,7 @@
         self.drop_silent_links(now);
         self.check_silence(now);
         self.end_claims(now);
+        self.end_expired_runs(now);
         self.check_lease(now);
         self.send_hellos(now);
         self.share_evacuations();
@@ -56,6 +57,8 @@
         if let Some(deadline) = claims.min() {
             wake = wake.min(deadline + Micros(1));
         }
+        let detached = self.runs.values().filter_map(Run::predecessor);
+        wake = wake.min(detached.map(|p| p.expiry).min().unwrap_or(Time::NEVER));
         if let Some(upstream) = &self.upstream {
             if !upstream.poll_pending {
                 wake = wake.min(upstream.next_poll);
@@ -91,6 +94,7 @@
         let is_missing = matches!(outcome, CallOutcome::NoAnswer | CallOutcome::NotListening);
         if !is_missing && !is_other {
             upstream.last_answer = now;
+            upstream.silence = Silence::Unexplained;
         }
     }
 
@@ -192,13 +196,12 @@
             return;
         }
         upstream.reachability = Reachability::Expired;
-        // Silence alone does not tell whether the upstream has crashed.
-        let end = match upstream.silence {
-            Silence::Crashed => RunEnd::Lapsed,
-            Silence::Unexplained | Silence::Replaced => RunEnd::Stopped,
-        };
+        // If it is still silent, one that has reported meanwhile takes its place.
+        upstream.next_poll = now;
+        let end = upstream.run_end();
         let id = upstream.report.incarnation.id.clone();
-        let sent = self.runs.iter_mut().filter(|(_, r)| r.link.is_some());
+        let is_here = |r: &Run| r.link.is_some() && r.predecessor().is_none();
+        let sent = self.runs.iter_mut().filter(|(_, r)| is_here(r));
         let mut runs = 0;
         for (&run, row) in sent {
             // The run takes capacity until the upstream's lists show its end.
--- a/crates/chervilring_core/src/runs/runner/upstream.rs
+++ b/crates/chervilring_core/src/runs/runner/upstream.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::call::UpstreamIncarnation;
+use super::event::GoneReason;
 use super::lease::Lease;
 
 /// Whether an upstream accepts work.
@@ -111,31 +112,22 @@
         ready && self.runs_known && self.report_current && !self.is_silent()
     }
 
-    /// Returns whether it is known to run nothing any more.
-    pub(super) fn is_gone(&self) -> bool {
-        let has_vanished = self.silence != Silence::Unexplained;
-        match self.reachability {
-            _ if self.report.state == Availability::Left => true,
-            Reachability::Answering => false,
-            Reachability::Missed | Reachability::Silent => has_vanished,
-            Reachability::Expired => true,
+    /// Returns why it serves no more, if that is known. Its runs may go on for a while.
+    pub(super) fn gone_reason(&self) -> Option<GoneReason> {
+        if self.report.state == Availability::Left {
+            return Some(GoneReason::Left);
+        }
+        match (self.reachability, self.silence) {
+            (Reachability::Expired, _) => Some(GoneReason::LeaseExpired),
+            (Reachability::Answering, _) | (_, Silence::Unexplained) => None,
+            (_, Silence::Crashed) => Some(GoneReason::NotListening),
+            (_, Silence::Replaced) => Some(GoneReason::AddressTaken),
         }
     }
 
-    /// Returns whether an incarnation that reports has taken its place, as far as the report tells.
-    ///
-    /// Runs of an upstream with another id end with it, so that id must not take the place of one that
-    /// still answers. One that has never answered may have been made up by another program.
-    pub(super) fn is_replaced_by(&self, other: &UpstreamIncarnation) -> bool {
-        let current = &self.report.incarnation;
-        let is_later = other.started_ms >= current.started_ms;
-        if self.last_answer == Time::default() {
-            return true;
-        }
-        if other.id == current.id {
-            return is_later;
-        }
-        self.is_gone() || (is_later && self.reachability != Reachability::Answering)
+    /// Returns whether it is known to serve no more.
+    pub(super) fn is_gone(&self) -> bool {
+        self.gone_reason().is_some()
     }
 
     /// Returns whether it has not answered any call for longer than the limit.
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -11,6 +11,7 @@
 mod order;
 mod placing;
 mod remote;
+mod replaced;
 mod replicas;
 mod restarts;
 mod retry_after;
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -4,7 +4,7 @@
 use std::env;
 use std::ops::RangeInclusive;
 
-use super::world::{Direction, Event, Reader, Without, World, test_job};
+use super::world::{Direction, Event, OddReport, Reader, Without, World, test_job};
 
 /// The number of schedules in a plain test run. `CHERVILRING_SCHEDULES` sets another number, and
 /// `CHERVILRING_FIRST` the first seed.
@@ -328,6 +328,58 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Runs a schedule in which upstreams are replaced, some while they drain, leave single calls unanswered, and
+/// runners get reports that are not of their upstream.
+fn play_replaced(seed: u64) -> World {
+    let mut world = World::new(seed, 3, 4, Without::Nothing);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0x5ACE);
+    for _ in 0..rng.u32(3..12) {
+        let (mut at, r) = (rng.u64(0..FAULTS), rng.usize(0..4));
+        match rng.u32(0..4) {
+            0 => world.at(at, Event::Renew(r, rng.u64(5_000..900_000))),
+            1 => world.at(at, Event::Release(r, rng.u64(0..3_000_000))),
+            _ => {}
+        }
+        if rng.bool() {
+            at += rng.u64(0..900_000);
+            world.at(at, Event::LeaveCalls(r, rng.u32(1..4)));
+        }
+        for _ in 0..rng.u32(0..3) {
+            let kind = [
+                OddReport::Foreign,
+                OddReport::ForeignSameId,
+                OddReport::Late,
+            ][rng.usize(0..3)];
+            let after = rng.u64(0..300_000);
+            world.at(at + after, Event::OddReport(r, kind));
+        }
+    }
+    play_in(world, seed, Without::Nothing)
+}
+
+/// Guards against runs that count as over, or an upstream that loses its place, because another one reports.
+#[test]
+fn no_schedule_with_replaced_upstreams_violates_a_guarantee() {
+    assert_eq!(first_violation(schedules(), play_replaced), None);
+}
+
+/// Guards against an upstream that gets no work because of one that it took the place of, or of a report that
+/// is not of any.
+#[test]
+fn every_successor_is_used() {
+    for seed in 1..=100 {
+        let world = play_replaced(seed);
+        assert_eq!(world.unused_upstreams(), Vec::<usize>::new(), "seed {seed}");
+    }
+}
+
+/// Runs one schedule with replaced upstreams, as `one_schedule` does.
+#[test]
+fn one_schedule_with_replaced_upstreams() {
+    let world = play_replaced(given_seed());
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Runs one schedule with quick restarts of upstreams, as `one_schedule` does.
 #[test]
 fn one_schedule_with_quick_restarts() {
--- a/crates/chervilring_core/tests/runs/upstream.rs
+++ b/crates/chervilring_core/tests/runs/upstream.rs
@@ -1,12 +1,13 @@
 //! A model of an upstream that enforces leases, fencing tokens and attempts, and nothing else.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use chervilring_core::runs::runner::{
     Availability, CallOutcome, CallRefusal, ListedEnd, ListedRun, Report, RunLists, UpstreamCall,
     UpstreamIncarnation,
 };
-use chervilring_wire::{DomainName, Resources, RunEnd, RunKey, Time};
+use chervilring_wire::{DomainName, Name, Resources, RunEnd, RunKey, Time};
 
 /// A task, regardless of the attempt.
 pub(crate) type TaskId = (u64, u32, u32);
@@ -32,9 +33,11 @@
 }
 
 /// The model of an upstream.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Upstream {
     pub(crate) index: usize,
+    pub(crate) id: Name,
+    pub(crate) addr: SocketAddr,
     pub(crate) started_ms: u64,
     pub(crate) up: bool,
     pub(crate) draining: bool,
@@ -50,6 +53,8 @@
     started: Time,
     /// The number of incarnations before this one.
     incarnations: u64,
+    /// When the first incarnation under its id started, by the time of day.
+    pub(crate) first_start: u64,
     /// Whether the time of day is set back between incarnations, and forward again.
     pub(crate) is_set_back: bool,
     pub(crate) active: BTreeMap<RunKey, ActiveRun>,
@@ -65,7 +70,7 @@
 }
 
 /// When the first incarnation of an upstream starts, in milliseconds since the Unix epoch.
-const FIRST_START: u64 = 1_000;
+pub(crate) const FIRST_START: u64 = 1_000;
 
 /// The number of failure domains over which upstreams are spread in turn.
 pub(crate) const DOMAINS: usize = 2;
@@ -83,6 +88,8 @@
     pub(crate) fn new(index: usize, rate: f64, speed: f64, cpu: u64) -> Self {
         Self {
             index,
+            id: format!("u{index}").as_str().into(),
+            addr: "127.0.0.1:1".parse().unwrap(),
             started_ms: FIRST_START,
             up: true,
             draining: false,
@@ -97,6 +104,7 @@
             ignored: None,
             started: Time::default(),
             incarnations: 0,
+            first_start: FIRST_START,
             is_set_back: false,
             active: BTreeMap::new(),
             ended: Vec::new(),
@@ -168,9 +176,9 @@
         self.started = now;
         // The time of day of its host may have been set back in between.
         self.started_ms = if self.is_set_back && self.incarnations % 2 == 1 {
-            FIRST_START - self.incarnations
+            self.first_start - self.incarnations
         } else {
-            FIRST_START + self.incarnations
+            self.first_start + self.incarnations
         };
     }
 
@@ -192,11 +200,11 @@
         }
     }
 
-    fn incarnation(&self) -> UpstreamIncarnation {
+    pub(crate) fn incarnation(&self) -> UpstreamIncarnation {
         UpstreamIncarnation {
-            id: format!("u{}", self.index).as_str().into(),
+            id: self.id.clone(),
             started_ms: self.started_ms,
-            addr: "127.0.0.1:1".parse().unwrap(),
+            addr: self.addr,
         }
     }
 
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -6,20 +6,22 @@
 mod links;
 mod processes;
 mod steps;
+mod successors;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 use chervilring_core::runs::planner::Caller;
-use chervilring_core::runs::runner::{CallOutcome, UpstreamCall, UpstreamRecord};
+use chervilring_core::runs::runner::{CallOutcome, Report, UpstreamCall, UpstreamRecord};
 use chervilring_core::runs::{Planner, Runner};
-use chervilring_wire::{Evacuations, Time};
+use chervilring_wire::{Evacuations, Name, Time};
 
 pub(crate) use callers::{TestJob, route, test_job};
 pub(crate) use evacuation::Reader;
 use evacuation::STORE_DELAY;
 use links::Link;
 use processes::{Process, pause, process};
+pub(crate) use successors::OddReport;
 
 use crate::upstream::{Ignored, TaskId, Upstream};
 
@@ -98,6 +100,18 @@
     Crash(usize, u64),
     /// An upstream carries out all calls, and leaves a share of them unanswered for a time.
     Mute(usize, u64, f64),
+    /// An upstream leaves so many calls in a row unanswered, and carries them out late.
+    LeaveCalls(usize, u32),
+    /// A report arrives at a runner that is not of its upstream.
+    OddReport(usize, OddReport),
+    /// An upstream crashes; the next one, with another id, starts after a time.
+    Renew(usize, u64),
+    /// An upstream drains for a time, while its successor is there already.
+    Release(usize, u64),
+    /// The upstream of this id, beside the newest one, announces its exit.
+    Leave(usize, Name),
+    /// The upstream of this id, beside the newest one, ends.
+    End(usize, Name),
     Drain(usize),
     ResetCaller(usize),
     /// A runner no longer needs its links to a planner.
@@ -141,6 +155,14 @@
     /// Upstreams that carry out all calls but leave a share of them unanswered, each with the end
     /// of that period and the share.
     pub(crate) muted: BTreeMap<usize, (Time, f64)>,
+    /// The number of calls that upstreams leave unanswered next.
+    left_calls: BTreeMap<usize, u32>,
+    /// The upstreams that drain beside the newest one, with the index of their runner.
+    beside: Vec<(usize, Upstream)>,
+    /// The number of upstreams that took the place of others.
+    successors: u16,
+    /// The last reports of upstreams that have crashed, with the index of their runner.
+    past_reports: Vec<(usize, Report)>,
     /// The end of the period in which packets are lost and retransmitted, and their share.
     pub(crate) lossy: (Time, f64),
     /// The maximum delay of answers to starts and stops, by which they overtake each other.
@@ -218,6 +240,10 @@
             late_stops: 0.0,
             mute_until: Time::default(),
             muted: BTreeMap::new(),
+            left_calls: BTreeMap::new(),
+            beside: Vec::new(),
+            successors: 0,
+            past_reports: Vec::new(),
             lossy: (Time::default(), 0.0),
             jitter: 0,
             hop_jitter: 0,
@@ -293,6 +319,9 @@
             for up in &mut self.upstreams {
                 up.advance(time);
             }
+            for (_, up) in &mut self.beside {
+                up.advance(time);
+            }
             self.handle(what);
         }
         self.now = end;
@@ -409,6 +438,14 @@
                 let until = Time(self.now.0 + span);
                 self.muted.insert(r, (until, share));
             }
+            Event::LeaveCalls(r, count) => {
+                self.left_calls.insert(r, count);
+            }
+            Event::OddReport(r, kind) => self.deliver_odd_report(r, kind),
+            Event::Renew(r, span) => self.renew(r, span),
+            Event::Release(r, span) => self.release(r, span),
+            Event::Leave(r, id) => self.leave(r, &id),
+            Event::End(r, id) => self.beside.retain(|(p, up)| (*p, &up.id) != (r, &id)),
             Event::Drain(r) if r >= 1_000 => {
                 self.upstreams[r - 1_000].restart(self.now);
             }
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -7,6 +7,7 @@
 use chervilring_wire::{Micros, PlannerMessage, RefuseReason, RunKey, RunnerMessage, Time};
 
 use super::links::Packet;
+use super::successors::Listener;
 use super::{CALL_TIME, Event, NEAR, POLL_TIME, TestJob, Without, World};
 use crate::upstream::{TaskId, task_of};
 
@@ -77,7 +78,7 @@
         let now = Time(self.now.0 - self.runners[r].suspended);
         let incarnation = self.runners[r].incarnation;
         let lost = CallOutcome::NoAnswer;
-        if !self.upstreams[r].up {
+        if self.listener(r, &call).is_none() {
             let refused = CallOutcome::NotListening;
             self.at(CALL_TIME, Event::Called(r, incarnation, now, call, refused));
             return;
@@ -93,6 +94,12 @@
             self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
             return;
         }
+        if self.leaves_call(r) {
+            let span = self.rng.u64(1_000_000..6_000_000);
+            self.at(span, Event::CallLate(r, call.clone()));
+            self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
+            return;
+        }
         if self.is_mute(r) {
             self.handle_call(r, &call);
             self.at(CALL_TIME, Event::Called(r, incarnation, now, call, lost));
@@ -130,45 +137,48 @@
     }
 
     pub(super) fn handle_call(&mut self, r: usize, call: &UpstreamCall) -> CallOutcome {
-        if !self.upstreams[r].up {
+        let Some(listener) = self.listener(r, call) else {
             return CallOutcome::NoAnswer;
-        }
+        };
         let now = self.now;
         let hang = self.hangs.contains(&r);
         let bad = self.fails.contains(&r);
-        let before: BTreeSet<RunKey> = self.upstreams[r].active.keys().copied().collect();
+        let before: BTreeSet<RunKey> = self.upstream(listener).active.keys().copied().collect();
         let jobs = &self.jobs;
         let work = |run: &RunKey| {
             let job = jobs.iter().find(|j| j.id == run.job.0);
             let (span, fails) = job.map_or((50_000, false), |j| (j.work, j.fails));
             (span, fails || bad, hang)
         };
-        let outcome = self.upstreams[r].handle_call(now, call, work);
-        let new = self.upstreams[r]
-            .active
-            .keys()
-            .find(|k| !before.contains(k));
+        let upstream = match listener {
+            Listener::Newest(r) => &mut self.upstreams[r],
+            Listener::Beside(place) => &mut self.beside[place].1,
+        };
+        let outcome = upstream.handle_call(now, call, work);
+        let new = upstream.active.keys().find(|k| !before.contains(k));
         if let Some(run) = new.copied() {
-            self.started(r, run);
+            self.started(r, listener, run);
         }
         outcome
     }
 
     /// Checks a start: the run has no duplicate, its job was not refused, and its upstream has the
     /// capacity.
-    pub(super) fn started(&mut self, r: usize, run: RunKey) {
+    fn started(&mut self, r: usize, listener: Listener, run: RunKey) {
         self.starts += 1;
         let now = self.now;
         let name: TaskId = task_of(&run);
         *self.started.entry(run.job.0).or_default() += 1;
-        for (place, up) in self.upstreams.iter().enumerate() {
-            let duplicates = up
-                .active
-                .keys()
-                .filter(|k| task_of(k) == name && !(place == r && **k == run));
-            if up.up && duplicates.count() > 0 {
-                self.violations
-                    .push(format!("{now:?}: {run} runs on {place} and {r}"));
+        let newest = (0..self.upstreams.len()).map(Listener::Newest);
+        let beside = (0..self.beside.len()).map(Listener::Beside);
+        for place in newest.chain(beside) {
+            let up = self.upstream(place);
+            let is_here = |k: &&RunKey| place == listener && **k == run;
+            let mut duplicates = up.active.keys().filter(|k| task_of(k) == name);
+            if up.up && duplicates.any(|k| !is_here(&k)) {
+                let id = &up.id;
+                let violation = format!("{now:?}: {run} runs on {id} and {r}");
+                self.violations.push(violation);
             }
         }
         let job = self.jobs.iter().find(|j| j.id == run.job.0);
@@ -177,13 +187,15 @@
                 .push(format!("{now:?}: {run} starts, though its job was refused"));
         }
         self.check_evacuation(r, run);
-        let up = &self.upstreams[r];
-        if !up.capacity.can_fit(&up.used()) {
+        let up = self.upstream(listener);
+        let is_over = !up.capacity.can_fit(&up.used());
+        let is_late = up.drain_acknowledged.duration_until(now) > DRAIN_TIME;
+        let is_draining = up.draining;
+        if is_over {
             self.violations
                 .push(format!("{now:?}: {run} brings {r} over its capacity"));
         }
-        let is_late = up.drain_acknowledged.duration_until(now) > DRAIN_TIME;
-        if up.draining && is_late && !self.is_late_call {
+        if is_draining && is_late && !self.is_late_call {
             self.violations
                 .push(format!("{now:?}: {run} starts while {r} drains"));
         }
--- a/crates/chervilring_daemon/src/runs/runner_log.rs
+++ b/crates/chervilring_daemon/src/runs/runner_log.rs
@@ -59,6 +59,17 @@
             info!(log, "upstream found"; "upstream" => &**id, "born_ms" => started_ms,
                 "cpu" => capacity.cpu, "memory" => capacity.memory);
         }
+        RunnerEvent::UpstreamReplaced {
+            id,
+            next,
+            reason,
+            runs,
+            lease,
+        } => {
+            warn!(log, "upstream replaced"; "upstream" => &**id, "next" => &**next,
+                "why" => reason.map_or_else(|| "NeverAnswered".into(), |r| format!("{r:?}")),
+                "runs" => runs, "runs_kept_us" => lease.0);
+        }
         RunnerEvent::AcceptingChanged {
             id,
             accepting,
