Random schedules: an upstream that is up is not started again

Cause, from the trace: a fault of the model. A crash of 1.2 s overlapped with one after which another upstream had started. The end of the first started the second once more, which set its clock back and left its runs and the end of its lease as they were, so that the lease lasted a second longer. No process does that. A second start while it is up is now left out.

--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -447,7 +447,11 @@
             Event::Leave(r, id) => self.leave(r, &id),
             Event::End(r, id) => self.beside.retain(|(p, up)| (*p, &up.id) != (r, &id)),
             Event::Drain(r) if r >= 1_000 => {
-                self.upstreams[r - 1_000].restart(self.now);
+                // Crashes may overlap; one that is back already goes on.
+                let up = &mut self.upstreams[r - 1_000];
+                if !up.up {
+                    up.restart(self.now);
+                }
             }
             Event::Drain(r) => {
                 if self.upstreams[r].up {
