Runners: runs end although a restarted upstream falls silent before it has reported

What callers would see: a task whose upstream started again under its id and then never answered or reported was neither done nor started elsewhere, until the caller's deadline passed.

Cause: the lists that show the restart told the new clock, and it was not taken in. Without a reading of the clock it is not known when the lease ends, so the runs of before never counted as over.

Change: the clock is taken from these lists. The wait stays that for the longest lease, as a call may have reached either incarnation.

Test: a_run_ends_when_its_upstream_starts_again_and_falls_silent failed before (no end after 1.1 s). Found while the ways in which a run counts as over were listed; not seen on real processes.

--- a/crates/chervilring_core/src/runs/runner/incarnations.rs
+++ b/crates/chervilring_core/src/runs/runner/incarnations.rs
@@ -2,6 +2,7 @@
 
 use chervilring_wire::{RunKey, Time};
 
+use super::call::RunLists;
 use super::event::RunnerEvent;
 use super::record::UpstreamRecord;
 use super::state::{RunState, Runner, RunnerStep};
@@ -49,12 +50,12 @@
     }
 
     /// Handles lists of another incarnation under the same id: it is the one that is there.
-    pub(super) fn handle_restart(&mut self, now: Time, started_ms: u64) {
+    pub(super) fn handle_restart(&mut self, now: Time, lists: &RunLists) {
         let Some(upstream) = &self.upstream else {
             return;
         };
         let mut incarnation = upstream.report.incarnation.clone();
-        incarnation.started_ms = started_ms;
+        incarnation.started_ms = lists.started_ms;
         let is_there = |report: &Report| report.incarnation == incarnation;
         let reported = self.unconfirmed.take().filter(is_there);
         let has_reported = reported.is_some();
@@ -64,7 +65,7 @@
             let report = Report {
                 incarnation,
                 sequence: 0,
-                clock: None,
+                clock: Some(lists.clock),
                 ..upstream.report.clone()
             };
             self.begin_incarnation(now, report);
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -27,7 +27,7 @@
             CallOutcome::Listed(lists)
                 if lists.started_ms != upstream.report.incarnation.started_ms =>
             {
-                self.handle_restart(now, lists.started_ms);
+                self.handle_restart(now, &lists);
             }
             CallOutcome::Listed(lists) => {
                 upstream.reachability = Reachability::Answering;
--- a/crates/chervilring_core/tests/runs/replaced.rs
+++ b/crates/chervilring_core/tests/runs/replaced.rs
@@ -23,6 +23,9 @@
 /// Within this time, in milliseconds, all runs of an upstream that is not called any more have ended.
 const LEASE_TIME: u64 = 520;
 
+/// The same if it may have been granted the longest lease.
+const MAX_LEASE_TIME: u64 = 1_100;
+
 /// How long an upstream is called, and its lease extended, although it does not answer, in milliseconds.
 const SILENCE_TIME: u64 = 200;
 
@@ -342,6 +345,20 @@
     assert_eq!(host.ends, [RunEnd::Done]);
 }
 
+/// Guards against runs that are never told to be over, because the clock of the next incarnation was not read
+/// before it fell silent.
+#[test]
+fn a_run_ends_when_its_upstream_starts_again_and_falls_silent() {
+    let mut host = Host::with_run();
+    host.upstreams[0].crash();
+    host.upstreams[0].restart(host.now);
+    host.play(1);
+    host.mute(0, 60_000);
+    host.play(MAX_LEASE_TIME);
+    assert_eq!(host.early, Vec::<String>::new());
+    assert_eq!(host.ends.len(), 1);
+}
+
 /// Guards against queued runs that count as lost with the upstream that they waited for.
 #[test]
 fn queued_runs_are_refused_when_another_upstream_takes_the_place() {
