Runners: a late report of a successor does not undo a newer one

What would be seen: a successor that reports, drains, and whose first report arrives once more gets work when it takes the place, until its next report.

Cause: of the reports that are kept until the upstream is gone the last to arrive counted, whatever its number. More reports are kept since an upstream keeps its place while it may go on.

Test: a_late_report_of_a_successor_does_not_undo_a_newer_one failed before. Found by reading.

--- a/crates/chervilring_core/src/runs/runner/incarnations.rs
+++ b/crates/chervilring_core/src/runs/runner/incarnations.rs
@@ -28,7 +28,7 @@
             }
             // The next poll shows whether the current one is still there.
             upstream.next_poll = now;
-            self.unconfirmed = Some(report);
+            self.keep_report(report);
             self.tick(now);
             return false;
         }
--- a/crates/chervilring_core/src/runs/runner/replacement.rs
+++ b/crates/chervilring_core/src/runs/runner/replacement.rs
@@ -87,6 +87,16 @@
         }
     }
 
+    /// Keeps a report until polls show which incarnation is there.
+    pub(super) fn keep_report(&mut self, report: Report) {
+        let is_later = |kept: &Report| {
+            kept.incarnation == report.incarnation && kept.sequence > report.sequence
+        };
+        if !self.unconfirmed.as_ref().is_some_and(is_later) {
+            self.unconfirmed = Some(report);
+        }
+    }
+
     /// Replaces an incarnation that is gone by the one that has reported meanwhile, if any has.
     pub(super) fn replace_if_gone(&mut self, now: Time) {
         let is_gone = self.upstream.as_ref().is_some_and(Upstream::is_gone);
--- a/crates/chervilring_core/tests/runs/replaced.rs
+++ b/crates/chervilring_core/tests/runs/replaced.rs
@@ -403,6 +403,20 @@
     }
 }
 
+/// Guards against a successor that is used although it drains, because an earlier report of it arrives late.
+#[test]
+fn a_late_report_of_a_successor_does_not_undo_a_newer_one() {
+    let mut host = Host::with_run();
+    let next = host.add("u1", 2);
+    let late = host.upstreams[next].report(host.now);
+    host.upstreams[next].draining = true;
+    host.report(next);
+    host.runner.handle_report(host.now, late);
+    host.runner.upstream_left(host.now, "u0");
+    host.play(5);
+    assert!(!host.runner.is_accepting());
+}
+
 /// Guards against a successor that waits, after its report, for an upstream that has gone.
 #[test]
 fn after_a_release_the_successor_gets_work_when_the_exit_is_announced() {
