--- a/crates/chervilring_core/tests/runs/replaced.rs
+++ b/crates/chervilring_core/tests/runs/replaced.rs
@@ -89,6 +89,12 @@
         place
     }
 
+    /// Starts the next upstream, which reports at once.
+    fn start_successor(&mut self, id: &str, port: u16) {
+        let place = self.add(id, port);
+        self.report(place);
+    }
+
     fn report(&mut self, place: usize) {
         let report = self.upstreams[place].report(self.now);
         self.runner.handle_report(self.now, report);
@@ -245,8 +251,7 @@
     host.report(0);
     host.mute(0, 60);
     host.play(1);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.play(1_500);
     assert_eq!(host.early, Vec::<String>::new());
     assert_eq!(host.ends, [RunEnd::Done]);
@@ -259,8 +264,7 @@
     let mut host = Host::with_run();
     host.runner.upstream_left(host.now, "u0");
     host.play(1);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.play(2);
     assert!(host.runner.is_accepting(), "the successor gets no work");
     host.assert_ends_in_time();
@@ -272,8 +276,7 @@
     let mut host = Host::with_run();
     host.listening[0] = false;
     host.play(5);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.play(2);
     assert!(host.runner.is_accepting(), "the successor gets no work");
     host.assert_ends_in_time();
@@ -317,8 +320,7 @@
     host.listening[0] = false;
     host.play(5);
     host.runner.link_down(host.now, LINK);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.open_link(NEXT_LINK);
     let before = host.hellos;
     while host.hellos == before {
@@ -368,8 +370,7 @@
     assert_eq!((host.refused, host.active(0)), (0, 1));
     host.upstreams[0].crash();
     host.play(5);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.play(2);
     assert_eq!(host.refused, 1);
     host.assert_ends_in_time();
@@ -381,8 +382,7 @@
     let mut host = Host::with_run();
     host.upstreams[0].crash();
     host.play(50);
-    let next = host.add("u1", 1);
-    host.report(next);
+    host.start_successor("u1", 1);
     host.play(30);
     assert!(host.runner.is_accepting());
     assert_eq!(host.ends, [RunEnd::Lapsed]);
@@ -395,8 +395,7 @@
         let mut host = Host::with_run();
         host.upstreams[0].crash();
         host.play(15);
-        let next = host.add(id, port);
-        host.report(next);
+        host.start_successor(id, port);
         host.play(2);
         assert!(host.runner.is_accepting(), "{id} at port {port}");
         host.assert_ends_in_time();
@@ -423,8 +422,7 @@
     let mut host = Host::with_run();
     host.upstreams[0].draining = true;
     host.report(0);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.play(1_500);
     assert!(!host.runner.is_accepting(), "the first one still answers");
     host.runner.upstream_left(host.now, "u0");
@@ -440,8 +438,7 @@
     let mut host = Host::with_run();
     host.mute(0, 60_000);
     host.play(5);
-    let next = host.add("u1", 2);
-    host.report(next);
+    host.start_successor("u1", 2);
     host.play(SILENCE_TIME + LEASE_TIME);
     assert!(host.runner.is_accepting());
     assert_eq!(host.early, Vec::<String>::new());
--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -331,6 +331,13 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// The kinds of reports that are not of a runner's upstream.
+const ODD_REPORTS: [OddReport; 3] = [
+    OddReport::Foreign,
+    OddReport::ForeignSameId,
+    OddReport::Late,
+];
+
 /// Runs a schedule in which upstreams are replaced, some while they drain, leave single calls unanswered, and
 /// runners get reports that are not of their upstream.
 fn play_replaced(seed: u64) -> World {
@@ -349,11 +356,7 @@
             world.at(at, Event::LeaveCalls(r, rng.u32(1..4)));
         }
         for _ in 0..rng.u32(0..3) {
-            let kind = [
-                OddReport::Foreign,
-                OddReport::ForeignSameId,
-                OddReport::Late,
-            ][rng.usize(0..3)];
+            let kind = ODD_REPORTS[rng.usize(0..ODD_REPORTS.len())];
             let after = rng.u64(0..300_000);
             world.at(at + after, Event::OddReport(r, kind));
         }
