Planners: an answer is logged with the failures and crashes of the task that did worst

Whether a job was answered as failed because a task had failed, or because upstreams had crashed under it, could be told only by counting the lines of all its runs. The line answered has task_failures, attempts and task_crashes now. No decision changes, no message either.

Test: an_answer_is_logged_with_the_failures_and_crashes_of_a_task.

--- a/crates/chervilring_core/src/runs/planner/event.rs
+++ b/crates/chervilring_core/src/runs/planner/event.rs
@@ -76,6 +76,12 @@
         objective_met: bool,
         /// How long the objective allowed, by the same run times.
         objective: Micros,
+        /// The most failed attempts of one of its tasks.
+        failures: u32,
+        /// How many the route allows.
+        max_attempts: u32,
+        /// The most upstreams that crashed while they had a run of one of its tasks.
+        crashes: u32,
     },
     /// A runner was asked for its replica of the configuration.
     ReplicaRequested {
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -196,6 +196,16 @@
         })
     }
 
+    /// Returns the most failed attempts of one of its tasks.
+    pub(super) fn most_failures(&self) -> u32 {
+        self.tasks.iter().map(|t| t.failures).max().unwrap_or(0)
+    }
+
+    /// Returns the most upstreams that crashed while they had a run of one of its tasks.
+    pub(super) fn most_crashes(&self) -> u32 {
+        self.tasks.iter().map(|t| t.crashes.all).max().unwrap_or(0)
+    }
+
     /// Returns whether all tasks are done.
     pub(super) fn is_done(&self) -> bool {
         self.tasks.iter().all(|t| t.state == TaskState::Done)
--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -127,6 +127,9 @@
             starts: job.sent_runs,
             objective_met: answer == JobAnswer::Completed && time <= objective,
             objective,
+            failures: job.most_failures(),
+            max_attempts: job.submission.route.max_attempts,
+            crashes: job.most_crashes(),
         };
         for &caller in &job.callers {
             self.steps.push(PlannerStep::Answer {
--- a/crates/chervilring_core/tests/runs/crashes.rs
+++ b/crates/chervilring_core/tests/runs/crashes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use chervilring_core::runs::planner::{
-    Caller, JobAnswer, LinkNo, NewJob, PlannerSettings, PlannerStep, Step,
+    Caller, JobAnswer, LinkNo, NewJob, PlannerEvent, PlannerSettings, PlannerStep, Step,
 };
 use chervilring_core::runs::runner::{CallOutcome, UpstreamCall};
 use chervilring_core::runs::{Planner, Route};
@@ -29,6 +29,8 @@
     now: Time,
     starts: Vec<(LinkNo, RunKey)>,
     answers: Vec<JobAnswer>,
+    /// Of each answer: failures and crashes of the task that did worst, and the attempts allowed.
+    counts: Vec<(u32, u32, u32)>,
 }
 
 impl Fixture {
@@ -66,6 +68,7 @@
             now: Time(0),
             starts: Vec::new(),
             answers: Vec::new(),
+            counts: Vec::new(),
         }
     }
 
@@ -114,6 +117,12 @@
                     .starts
                     .extend(start.runs.iter().map(|&run| (link, run))),
                 PlannerStep::Answer { answer, .. } => self.answers.push(answer),
+                PlannerStep::Log(PlannerEvent::Answered {
+                    failures,
+                    max_attempts,
+                    crashes,
+                    ..
+                }) => self.counts.push((failures, crashes, max_attempts)),
                 _ => {}
             }
         }
@@ -192,6 +201,16 @@
     assert_eq!(fixture.answers, [JobAnswer::GaveUp]);
 }
 
+#[test]
+fn an_answer_is_logged_with_the_failures_and_crashes_of_a_task() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1);
+    fixture.end_latest(RunEnd::Failed);
+    fixture.end_latest(RunEnd::Lapsed);
+    fixture.end_latest(RunEnd::Done);
+    assert_eq!(fixture.counts, [(1, 1, 4)]);
+}
+
 #[test]
 fn a_run_that_lapsed_at_a_runner_of_an_older_build_is_no_crash() {
     let mut fixture = Fixture::with_links(1);
--- a/crates/chervilring_daemon/src/runs/planner_log.rs
+++ b/crates/chervilring_daemon/src/runs/planner_log.rs
@@ -48,10 +48,14 @@
             starts,
             objective_met,
             objective,
+            failures,
+            max_attempts,
+            crashes,
         } => {
             info!(log, "answered"; "job" => %job, "request" => &**request, "route" => &**route, "config" => config_version,
                 "answer" => ?answer, "patience_us" => caller_timeout.0, "sent_before_us" => prior_wait.map(|w| w.0), "took_us" => duration.0, "waited_us" => start_wait.map(|w| w.0),
-                "starts" => starts, "objective_met" => objective_met, "objective_us" => objective.0);
+                "starts" => starts, "objective_met" => objective_met, "objective_us" => objective.0,
+                "task_failures" => failures, "attempts" => max_attempts, "task_crashes" => crashes);
         }
         PlannerEvent::ReplicaRequested {
             runner,
