Test: a job is not called failed because upstreams crashed (fails)

Callers were told that a job had failed although no task of it had (LOST). The test has a failed run and then two upstreams that crash under the task's next runs: the answer is Failed, in this and in the next sending of the job; the route allows four failures and one was listed.

Two further tests pass as they stand and rule out the second hypothesis at the planner: a failed run that is told twice is one failure, and a task that has failed as often as its route allows has its job called failed, crashes or not.

--- a/crates/chervilring_core/tests/runs/crashes.rs
+++ b/crates/chervilring_core/tests/runs/crashes.rs
@@ -155,6 +155,56 @@
     }
 }
 
+/// Guards against jobs that are called failed although no upstream has listed a failed run.
+#[test]
+fn a_job_is_not_called_failed_because_upstreams_crashed() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1);
+    fixture.end_latest(RunEnd::Failed);
+    for crashes in 1..=6 {
+        if fixture.starts.len() < crashes + 1 {
+            break;
+        }
+        fixture.end_latest(RunEnd::Lapsed);
+    }
+    fixture.submit(2);
+    assert_eq!(fixture.answers, [JobAnswer::GaveUp; 2]);
+}
+
+#[test]
+fn a_job_is_called_failed_once_a_task_has_failed_as_often_as_its_route_allows() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1);
+    for end in [RunEnd::Failed, RunEnd::Stopped, RunEnd::Lapsed] {
+        fixture.end_latest(end);
+    }
+    for _ in 0..2 {
+        fixture.end_latest(RunEnd::Failed);
+        assert_eq!(fixture.answers, []);
+    }
+    fixture.end_latest(RunEnd::Failed);
+    assert_eq!(fixture.answers, [JobAnswer::Failed]);
+    assert_eq!(fixture.counts, [(4, 1, 4)]);
+}
+
+#[test]
+fn a_failed_run_that_is_told_twice_is_one_failure() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1);
+    for _ in 0..3 {
+        let (link, run) = *fixture.starts.last().expect("a run");
+        fixture.end_latest(RunEnd::Failed);
+        let again = RunnerMessage::Ended {
+            run,
+            end: RunEnd::Failed,
+        };
+        fixture.planner.message(fixture.now, link, again);
+        fixture.drain();
+    }
+    assert_eq!(fixture.answers, []);
+    assert_eq!(fixture.starts.len(), 4);
+}
+
 #[test]
 fn a_task_under_which_two_upstreams_have_crashed_is_not_started_again() {
     let mut fixture = Fixture::new();
