--- a/crates/chervilring_core/src/runs/planner/crashes.rs
+++ b/crates/chervilring_core/src/runs/planner/crashes.rs
@@ -1,10 +1,12 @@
 //! Crashes of upstreams under the tasks that they run.
 //!
-//! A task may be what crashes the upstreams that start it. It may also have been near one that is,
-//! as all runs of an upstream end with it.
+//! A task may be what crashes the upstreams that start it. It may also have been near one that is, or
+//! near upstreams that crash for reasons of their own, as all runs of an upstream end with it. So crashes
+//! bound how often a task is started, and prove nothing about it: only ends that upstreams list as failed
+//! make a job failed.
 
-/// The number of upstreams that may crash under runs of a task before it counts as failed: it may be
-/// what crashes them.
+/// The number of upstreams that may crash under runs of a task before it is given up: it may be what
+/// crashes them.
 const MAX_CRASHES: u32 = 2;
 
 /// The number of upstreams that may crash while they have a run of a task, started or not, before it
@@ -20,17 +22,6 @@
     pub(super) all: u32,
 }
 
-/// What crashes of upstreams mean for a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum CrashVerdict {
-    /// It may be started again.
-    Retry,
-    /// It counts as failed.
-    Failed,
-    /// It is not started again, although it is not known whether its runs had started.
-    GiveUp,
-}
-
 impl Crashes {
     /// Counts a crash; `has_started` says whether the run is known to have started.
     pub(super) fn record(&mut self, has_started: bool) {
@@ -38,14 +29,8 @@
         self.under_run += u32::from(has_started);
     }
 
-    /// Returns what the crashes so far mean.
-    pub(super) fn verdict(self) -> CrashVerdict {
-        if self.under_run >= MAX_CRASHES {
-            CrashVerdict::Failed
-        } else if self.all >= MAX_SUSPECTED_CRASHES {
-            CrashVerdict::GiveUp
-        } else {
-            CrashVerdict::Retry
-        }
+    /// Returns whether the task may not be started again.
+    pub(super) fn is_exhausted(self) -> bool {
+        self.under_run >= MAX_CRASHES || self.all >= MAX_SUSPECTED_CRASHES
     }
 }
--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -6,9 +6,8 @@
 use rustc_hash::FxHashMap;
 
 use super::claims::Spare;
-use super::crashes::{CrashVerdict, Crashes};
+use super::crashes::Crashes;
 use super::links::LinkNo;
-use super::state::JobAnswer;
 use crate::runs::order::WorkOrder;
 use crate::runs::route::Route;
 
@@ -185,15 +184,9 @@
         }
     }
 
-    /// Returns the answer to a job that is not started again because upstreams crashed under one of
-    /// its tasks.
-    pub(super) fn crash_answer(&self) -> Option<JobAnswer> {
-        let verdicts = self.tasks.iter().map(|t| t.crashes.verdict());
-        verdicts.fold(None, |answer, verdict| match verdict {
-            CrashVerdict::Failed => Some(JobAnswer::Failed),
-            CrashVerdict::GiveUp => answer.or(Some(JobAnswer::GaveUp)),
-            CrashVerdict::Retry => answer,
-        })
+    /// Returns whether a task may not be started again because upstreams crashed under it.
+    pub(super) fn has_exhausted_task(&self) -> bool {
+        self.tasks.iter().any(|t| t.crashes.is_exhausted())
     }
 
     /// Returns the most failed attempts of one of its tasks.
--- a/crates/chervilring_core/src/runs/planner/run_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/run_ends.rs
@@ -63,12 +63,11 @@
             }
             RunEnd::Lapsed if tells_crashes => {
                 task.crashes.record(task.started_attempt == run.attempt);
-                match job.crash_answer() {
-                    None => self.requeue_task(now, run, LossCause::Ended(end)),
-                    Some(answer) => {
-                        self.log_lost(run, LossCause::Ended(end));
-                        self.answer_job(now, seq, answer);
-                    }
+                if job.has_exhausted_task() {
+                    self.log_lost(run, LossCause::Ended(end));
+                    self.answer_job(now, seq, JobAnswer::GaveUp);
+                } else {
+                    self.requeue_task(now, run, LossCause::Ended(end));
                 }
             }
             RunEnd::Stopped | RunEnd::Lapsed => self.requeue_task(now, run, LossCause::Ended(end)),
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -27,7 +27,7 @@
 pub enum JobAnswer {
     /// All tasks are done.
     Completed,
-    /// A task has failed as many times as its route allows, or upstreams have crashed under it.
+    /// A task has failed as many times as its route allows, each time by its upstream's own lists.
     Failed,
     /// No task has run, and none will.
     Refused(Refusal),
@@ -199,8 +199,8 @@
             cancelling: false,
         };
         self.jobs.insert(seq, job);
-        if let Some(answer) = self.jobs.get(&seq).and_then(Job::crash_answer) {
-            self.answer_job(now, seq, answer);
+        if self.jobs.get(&seq).is_some_and(Job::has_exhausted_task) {
+            self.answer_job(now, seq, JobAnswer::GaveUp);
             return;
         }
         if self.is_unfit(seq) {
