HTTP ports: requests that come in at once are answered in turn at every port

What clients saw: of several requests that came in at once on a connection, only the first was answered at the ports for readiness, reports and metrics; the connection then stood for good, as connections with an open request are not closed. Cause: HttpPort::answer returns what came in behind a request, and four owners of ports dropped that.

Test: requests_that_come_at_once_are_answered_in_turn_at_every_port, which failed before (no answer 2 at the port for readiness).

--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -185,6 +185,21 @@
         events
     }
 
+    /// Reads and writes what is ready, and answers each request at once.
+    pub fn serve(
+        &mut self,
+        now: Time,
+        ready: HttpReady,
+        mut answer: impl FnMut(&HttpRequest) -> HttpAnswer,
+    ) {
+        let mut events = self.handle(now, ready);
+        while let Some(event) = events.pop() {
+            if let HttpEvent::Request(conn, request) = event {
+                events.extend(self.answer(now, conn, &answer(&request)));
+            }
+        }
+    }
+
     /// Answers the open request of a connection and returns what came in behind it.
     pub fn answer(&mut self, now: Time, conn: ConnNo, answer: &HttpAnswer) -> Vec<HttpEvent> {
         let mut events = Vec::new();
--- a/crates/chervilring_daemon/src/runs/planner/explaining.rs
+++ b/crates/chervilring_daemon/src/runs/planner/explaining.rs
@@ -24,7 +24,8 @@
 impl PlannerActor {
     /// Serves metrics and explanations.
     pub(super) fn serve_operators(&mut self, now: Time, ready: HttpReady) {
-        for event in self.parts.metrics.handle(now, ready) {
+        let mut events = self.parts.metrics.handle(now, ready);
+        while let Some(event) = events.pop() {
             let HttpEvent::Request(conn, request) = event else {
                 continue;
             };
@@ -33,7 +34,7 @@
             } else {
                 ports::metrics_answer(&self.parts.report.metrics)
             };
-            self.parts.metrics.answer(now, conn, &answer);
+            events.extend(self.parts.metrics.answer(now, conn, &answer));
         }
     }
 
--- a/crates/chervilring_daemon/src/runs/planner/serving.rs
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -67,12 +67,8 @@
             && self.stopping.is_none()
             && self.parts.planner.runner_count() > 0;
         let status = if able { 200 } else { 503 };
-        for event in self.parts.ready.handle(now, ready) {
-            if let HttpEvent::Request(conn, _) = event {
-                let answer = HttpAnswer::json(status, Vec::new());
-                self.parts.ready.answer(now, conn, &answer);
-            }
-        }
+        let answer = HttpAnswer::json(status, Vec::new());
+        self.parts.ready.serve(now, ready, |_| answer.clone());
         self.carry_soon(cx);
     }
 
--- a/crates/chervilring_daemon/src/runs/ports.rs
+++ b/crates/chervilring_daemon/src/runs/ports.rs
@@ -8,7 +8,7 @@
 use stakker_mio::MioPoll;
 
 use crate::metrics::Metrics;
-use crate::net::{HttpAnswer, HttpEvent, HttpPort, HttpReady};
+use crate::net::{HttpAnswer, HttpPort, HttpReady};
 
 /// Listens on an address for requests with a body of up to `body` bytes.
 ///
@@ -27,12 +27,7 @@
 
 /// Serves the metrics on a port of their own.
 pub(super) fn serve_metrics(port: &mut HttpPort, now: Time, ready: HttpReady, metrics: &Metrics) {
-    for event in port.handle(now, ready) {
-        let HttpEvent::Request(conn, _) = event else {
-            continue;
-        };
-        port.answer(now, conn, &metrics_answer(metrics));
-    }
+    port.serve(now, ready, |_| metrics_answer(metrics));
 }
 
 /// Returns the answer to a request for metrics.
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -25,9 +25,7 @@
 use super::times::{EXIT_TIME, SWEEP, TICK};
 use super::told::{self, EvacuationFaults, Told};
 use crate::log;
-use crate::net::{
-    Clock, EventLoop, HttpEvent, HttpPort, HttpReady, Inbox, LinkEvent, LinkId, Links,
-};
+use crate::net::{Clock, EventLoop, HttpPort, HttpReady, Inbox, LinkEvent, LinkId, Links};
 use crate::signals::Asked;
 
 /// The largest report of an upstream, in bytes.
@@ -256,30 +254,31 @@
     fn reports(&mut self, cx: CX![], ready: HttpReady) {
         self.check_pause();
         let now = self.parts.clock.time();
-        for event in self.parts.reports.handle(now, ready) {
-            let HttpEvent::Request(conn, request) = event else {
-                continue;
-            };
-            let answer = match (self.parts.dialect.read)(&request) {
-                WorkerNotice::Report(report) => {
-                    let life = report.incarnation.clone();
-                    if !self.parts.runner.handle_report(now, report) {
-                        info!(self.parts.log, "report of another life kept until it is confirmed";
-                            "upstream" => &*life.id, "born_ms" => life.started_ms);
-                    }
-                    (self.parts.dialect.accepted)()
-                }
-                WorkerNotice::Left(id) => {
-                    self.parts.runner.upstream_left(now, &id);
-                    (self.parts.dialect.accepted)()
+        let Parts {
+            reports,
+            runner,
+            dialect,
+            log,
+            ..
+        } = &mut self.parts;
+        reports.serve(now, ready, |request| match (dialect.read)(request) {
+            WorkerNotice::Report(report) => {
+                let life = report.incarnation.clone();
+                if !runner.handle_report(now, report) {
+                    info!(log, "report of another life kept until it is confirmed";
+                        "upstream" => &*life.id, "born_ms" => life.started_ms);
                 }
-                WorkerNotice::Foreign(answer) => {
-                    warn!(self.parts.log, "report not understood"; "path" => &request.path);
-                    answer
-                }
-            };
-            self.parts.reports.answer(now, conn, &answer);
-        }
+                (dialect.accepted)()
+            }
+            WorkerNotice::Left(id) => {
+                runner.upstream_left(now, &id);
+                (dialect.accepted)()
+            }
+            WorkerNotice::Foreign(answer) => {
+                warn!(log, "report not understood"; "path" => &request.path);
+                answer
+            }
+        });
         self.carry_soon(cx);
     }
 
