HTTP ports: what all connections hold together is bounded by the host's limits

What was seen: clients that send many bodies of legal size, whole or in pieces, and stop just short of their end, fill a planner's memory (168,024 and 172,972 KiB where its settings say 65,536); so do idle connections that once sent a large body (168,636), requests behind a long job (117,808) and unread answers at the metrics port (154,980). Idle connections take 812 descriptors of 400. The other ports fail alike, at planner and runner.

Cause: limits were those of one connection; nothing bounded their sum. Buffers grew by doubling and were kept, a slow sender was never closed, and requests were taken out while the answers before them were not taken.

Change: each port counts what its buffers take. Past its share of the host's memory, or of its descriptors, it closes connections: without an open request first, then by how long they have held their bytes. Buffers grow by pieces and are given back; a request has 30 s from its first byte to its last; one connection's requests are handed out one a turn of the loop.

Why it works: whoever sends without delay has held its bytes for a short time only, so ordinary callers are closed last; a request that is not whole has not run, so closing is safe.

--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -2,35 +2,28 @@
 //!
 //! A connection whose peer has left is told at once, also while a request is open: what nobody
 //! waits for need not be done. Requests of one connection are handed out one at a time.
+//!
+//! A port holds a limited number of connections and of bytes. Past that it closes connections of which
+//! no request is open before others; among those that hold bytes the ones that have held them
+//! for longest, as whoever sends a request without delay has held its bytes for a short time only.
 
 use std::io;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
-use chervilring_wire::{Micros, Time};
+use chervilring_wire::Time;
 use rustc_hash::FxHashMap;
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
-use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
+use stakker_mio::{MioPoll, ReadStatus, Ready};
 
+use super::http_conn::{Conn, RECEIVE_BUFFER};
+use super::http_message::{HttpAnswer, HttpRequest, MAX_HEAD, write_answer};
 use super::links::LINK_PRIORITY;
 use super::listener::Listener;
 
-/// The longest head of a request, in bytes.
-const MAX_HEAD: usize = 16 << 10;
-
-/// The most headers of a request.
-const MAX_HEADERS: usize = 64;
-
-/// How much one read takes from the system, in bytes.
-const READ_CHUNK: usize = 16 << 10;
-
-/// How long a connection may stand with half a request, or while its answer is not taken.
-const HALF_TIME: Micros = Micros::from_secs(10);
-
-/// How long a connection may stand without any request.
-const IDLE_TIME: Micros = Micros::from_secs(120);
+/// How many connections are accepted before others are looked at.
+const ACCEPT_BATCH: usize = 64;
 
 /// Names a connection of a port; never used again after it is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -48,52 +41,8 @@
         /// Whether there may be something to read.
         readable: bool,
     },
-}
-
-/// A request.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct HttpRequest {
-    /// The method.
-    pub method: String,
-    /// The path with its query.
-    pub path: String,
-    /// The headers, their names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// The body.
-    pub body: Bytes,
-}
-
-impl HttpRequest {
-    /// Returns the value of a header, whose name is given in lower case.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n == name);
-        found.map(|(_, value)| value.as_str())
-    }
-}
-
-/// An answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HttpAnswer {
-    /// The status.
-    pub status: u16,
-    /// The media type of the body.
-    pub media: &'static str,
-    /// Seconds after which to come back.
-    pub comeback: Option<u64>,
-    /// The body.
-    pub body: Vec<u8>,
-}
-
-impl HttpAnswer {
-    /// Creates an answer with a JSON body; an empty one is left out.
-    pub fn json(status: u16, body: Vec<u8>) -> Self {
-        Self {
-            status,
-            media: "application/json",
-            comeback: None,
-            body,
-        }
-    }
+    /// Requests came in behind others that are answered now.
+    Pending,
 }
 
 /// What has come in.
@@ -105,15 +54,16 @@
     Gone(ConnNo),
 }
 
-/// A connection.
-struct Conn {
-    tcp: TcpStreamBuf,
-    /// Whether a request was handed out and is not answered.
-    open: bool,
-    /// Whether it is to be closed once all is sent.
-    closing: bool,
-    /// When something last came in or was answered.
-    active: Time,
+/// What a port may hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PortLimits {
+    /// The longest body of a request, in bytes.
+    pub body: usize,
+    /// The number of connections.
+    pub conns: usize,
+    /// The size of the buffers of all connections, in bytes: requests that are not whole or that wait
+    /// behind another one, and answers that are not taken.
+    pub buffers: usize,
 }
 
 /// A listening port with its connections.
@@ -123,8 +73,15 @@
     ready: Fwd<HttpReady>,
     conns: FxHashMap<ConnNo, Conn>,
     last: u64,
-    /// The longest body, in bytes.
-    body: usize,
+    limits: PortLimits,
+    /// The size of the buffers of all connections, in bytes.
+    held: usize,
+    /// The number of connections that were closed or not accepted because of a limit.
+    shed: u64,
+    /// Connections on which something came in behind a request that is answered now.
+    pending: Vec<ConnNo>,
+    /// Whether the owner was told that there are any.
+    told: bool,
     closing: bool,
 }
 
@@ -137,25 +94,31 @@
     pub fn bind(
         poll: &MioPoll,
         addr: SocketAddr,
-        body: usize,
+        limits: PortLimits,
         ready: Fwd<HttpReady>,
     ) -> io::Result<Self> {
         let accept = ready.clone();
         let accept = Fwd::new(move |_: Ready| accept.fwd(HttpReady::Accept));
+        let listener = Listener::bind(poll, addr, accept)?;
+        listener.set_receive_buffer(RECEIVE_BUFFER);
         Ok(Self {
             poll: poll.clone(),
-            listener: Listener::bind(poll, addr, accept)?,
+            listener,
             ready,
             conns: FxHashMap::default(),
             last: 0,
-            body,
+            limits,
+            held: 0,
+            shed: 0,
+            pending: Vec::new(),
+            told: false,
             closing: false,
         })
     }
 
     /// Sets the longest body, in bytes.
     pub fn set_body(&mut self, body: usize) {
-        self.body = body;
+        self.limits.body = body;
     }
 
     /// Has each connection closed after its next answer.
@@ -163,22 +126,28 @@
         self.closing = true;
     }
 
+    /// Returns how many connections were closed or not accepted because of a limit since the last call.
+    pub fn take_shed(&mut self) -> u64 {
+        std::mem::take(&mut self.shed)
+    }
+
     /// Reads and writes what is ready and returns what has come in.
     pub fn handle(&mut self, now: Time, ready: HttpReady) -> Vec<HttpEvent> {
         let mut events = Vec::new();
         match ready {
-            HttpReady::Accept => {
-                while let Some(stream) = self.listener.accept() {
-                    // A connection that cannot be polled is dropped, which its peer sees.
-                    if let Ok(conn) = self.accept(now, stream) {
-                        self.read(now, conn, &mut events);
-                    }
-                }
-            }
+            HttpReady::Accept => self.accept_some(now, &mut events),
             HttpReady::Conn { conn, readable } => {
                 self.flush(conn, &mut events);
                 if readable {
                     self.read(now, conn, &mut events);
+                } else {
+                    self.advance(now, conn, &mut events);
+                }
+            }
+            HttpReady::Pending => {
+                self.told = false;
+                for conn in std::mem::take(&mut self.pending) {
+                    self.advance(now, conn, &mut events);
                 }
             }
         }
@@ -192,37 +161,70 @@
         ready: HttpReady,
         mut answer: impl FnMut(&HttpRequest) -> HttpAnswer,
     ) {
-        let mut events = self.handle(now, ready);
-        while let Some(event) = events.pop() {
+        for event in self.handle(now, ready) {
             if let HttpEvent::Request(conn, request) = event {
-                events.extend(self.answer(now, conn, &answer(&request)));
+                // Nobody waits at a connection that is closed to make room: all are answered at once.
+                drop(self.answer(now, conn, &answer(&request)));
             }
         }
     }
 
-    /// Answers the open request of a connection and returns what came in behind it.
+    /// Answers the open request of a connection and returns which peers have left. What came in behind
+    /// the request is handed out later, so that one connection does not keep the others waiting.
     pub fn answer(&mut self, now: Time, conn: ConnNo, answer: &HttpAnswer) -> Vec<HttpEvent> {
         let mut events = Vec::new();
-        let Some(row) = self.conns.get_mut(&conn).filter(|c| c.open) else {
-            return events;
-        };
-        row.open = false;
-        row.active = now;
-        row.closing = row.closing || self.closing;
-        write_answer(&mut row.tcp.out, answer, row.closing);
-        self.flush(conn, &mut events);
-        self.parse(now, conn, &mut events);
+        self.write(now, conn, answer, &mut events);
+        if self.conns.get(&conn).is_some_and(Conn::has_more) {
+            self.pending.push(conn);
+        }
+        self.count(now, conn, &mut events);
         events
     }
 
+    /// Returns whether [`HttpReady::Pending`] is to be handled in the next turn of the loop. Says so
+    /// once for each time.
+    pub fn take_pending(&mut self) -> bool {
+        !self.pending.is_empty() && !std::mem::replace(&mut self.told, true)
+    }
+
     /// Closes connections that have stood for too long.
     pub fn sweep(&mut self, now: Time) {
-        let stale = |c: &Conn| {
-            let half = c.tcp.wr > c.tcp.rd || !c.tcp.out.is_empty();
-            let limit = if half { HALF_TIME } else { IDLE_TIME };
-            !c.open && now.duration_since(c.active) > limit
+        self.conns.retain(|_, c| !c.is_stale(now));
+        self.held = self.conns.values().map(|c| c.held).sum();
+        if self.listener.take_failed() {
+            self.ready.fwd(HttpReady::Accept);
+        }
+    }
+
+    fn accept_some(&mut self, now: Time, events: &mut Vec<HttpEvent>) {
+        for _ in 0..ACCEPT_BATCH {
+            let Some(stream) = self.listener.accept() else {
+                return;
+            };
+            if !self.make_room() {
+                continue;
+            }
+            // A connection that cannot be polled is dropped, which its peer sees.
+            if let Ok(conn) = self.accept(now, stream) {
+                self.read(now, conn, events);
+            }
+        }
+        self.ready.fwd(HttpReady::Accept);
+    }
+
+    /// Makes room for a connection. Returns whether there is any.
+    fn make_room(&mut self) -> bool {
+        if self.conns.len() < self.limits.conns {
+            return true;
+        }
+        self.shed += 1;
+        let idle = self.conns.iter().filter(|(_, c)| !c.open);
+        let oldest = idle.min_by_key(|(conn, c)| (c.served, c.active, **conn));
+        let Some((&conn, _)) = oldest else {
+            return false;
         };
-        self.conns.retain(|_, c| !stale(c));
+        self.remove(conn);
+        true
     }
 
     fn accept(&mut self, now: Time, stream: TcpStream) -> io::Result<ConnNo> {
@@ -235,16 +237,7 @@
         });
         let interest = Interest::READABLE | Interest::WRITABLE;
         let source = self.poll.add(stream, interest, LINK_PRIORITY, forward)?;
-        let mut tcp = TcpStreamBuf::new();
-        tcp.set_nodelay(true);
-        tcp.init(source);
-        let row = Conn {
-            tcp,
-            open: false,
-            closing: false,
-            active: now,
-        };
-        self.conns.insert(conn, row);
+        self.conns.insert(conn, Conn::new(now, source));
         Ok(conn)
     }
 
@@ -260,40 +253,28 @@
     }
 
     fn read(&mut self, now: Time, conn: ConnNo, events: &mut Vec<HttpEvent>) {
-        loop {
-            let limit = MAX_HEAD + self.body;
-            let Some(row) = self.conns.get_mut(&conn) else {
-                return;
-            };
-            // What comes beyond one whole request waits in the system.
-            if row.tcp.wr - row.tcp.rd > limit {
-                break;
-            }
-            match row.tcp.read(READ_CHUNK) {
-                ReadStatus::NewData => row.active = now,
-                ReadStatus::WouldBlock => break,
-                ReadStatus::EndOfStream | ReadStatus::Error(_) => {
+        let limit = self.read_limit();
+        while let Some(row) = self.conns.get_mut(&conn) {
+            match row.read(now, limit) {
+                Some(ReadStatus::NewData) => self.count(now, conn, events),
+                Some(ReadStatus::WouldBlock) | None => break,
+                Some(ReadStatus::EndOfStream | ReadStatus::Error(_)) => {
                     self.drop_conn(conn, events);
                     return;
                 }
             }
         }
-        self.parse(now, conn, events);
+        self.advance(now, conn, events);
     }
 
     /// Hands out the next request of a connection, if it is whole and none is open.
-    fn parse(&mut self, now: Time, conn: ConnNo, events: &mut Vec<HttpEvent>) {
+    fn advance(&mut self, now: Time, conn: ConnNo, events: &mut Vec<HttpEvent>) {
         let Some(row) = self.conns.get_mut(&conn) else {
             return;
         };
-        if row.open || row.closing {
-            return;
-        }
-        let input = &row.tcp.inp[row.tcp.rd..row.tcp.wr];
-        match read_request(input, self.body) {
+        match row.take_request(self.limits.body) {
             Ok(None) => {}
-            Ok(Some((request, used))) => {
-                row.tcp.rd += used;
+            Ok(Some(request)) => {
                 row.open = true;
                 row.active = now;
                 let close = request.header("connection");
@@ -304,96 +285,64 @@
                 row.open = true;
                 row.closing = true;
                 let answer = HttpAnswer::json(status, Vec::new());
-                events.extend(self.answer(now, conn, &answer));
+                self.write(now, conn, &answer, events);
             }
         }
+        let limit = self.read_limit();
+        if self.conns.get(&conn).is_some_and(|c| c.may_resume(limit)) {
+            self.read(now, conn, events);
+        }
+        self.count(now, conn, events);
     }
 
-    fn drop_conn(&mut self, conn: ConnNo, events: &mut Vec<HttpEvent>) {
-        let Some(row) = self.conns.remove(&conn) else {
+    /// Writes the answer to the open request of a connection.
+    fn write(&mut self, now: Time, conn: ConnNo, answer: &HttpAnswer, events: &mut Vec<HttpEvent>) {
+        let Some(row) = self.conns.get_mut(&conn).filter(|c| c.open) else {
             return;
         };
-        if row.open {
-            events.push(HttpEvent::Gone(conn));
-        }
+        row.open = false;
+        row.served = Some(now);
+        row.active = now;
+        row.closing = row.closing || self.closing;
+        write_answer(&mut row.tcp.out, answer, row.closing);
+        self.flush(conn, events);
     }
-}
 
-/// Reads the request at the start of `input`: it and the bytes it took, or the status by which it
-/// is refused.
-fn read_request(input: &[u8], limit: usize) -> Result<Option<(HttpRequest, usize)>, u16> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    let len = match head.parse(input) {
-        Ok(httparse::Status::Complete(len)) => len,
-        Ok(httparse::Status::Partial) if input.len() > MAX_HEAD => return Err(431),
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(httparse::Error::TooManyHeaders) => return Err(431),
-        Err(_) => return Err(400),
-    };
-    let mut request = HttpRequest {
-        method: head.method.unwrap_or("").to_owned(),
-        path: head.path.unwrap_or("").to_owned(),
-        ..HttpRequest::default()
-    };
-    for header in head.headers.iter() {
-        let name = header.name.to_ascii_lowercase();
-        let value = String::from_utf8_lossy(header.value).trim().to_owned();
-        request.headers.push((name, value));
-    }
-    if request.header("transfer-encoding").is_some() {
-        return Err(411);
-    }
-    let size = match request.header("content-length") {
-        None => 0,
-        Some(text) => text.parse::<usize>().map_err(|_| 400_u16)?,
-    };
-    if size > limit {
-        return Err(413);
+    /// Returns how much of a connection is read before a request of it is handed out, in bytes. What
+    /// comes beyond waits in the system.
+    fn read_limit(&self) -> usize {
+        MAX_HEAD + self.limits.body
     }
-    let Some(body) = input.get(len..len + size) else {
-        return Ok(None);
-    };
-    request.body = Bytes::copy_from_slice(body);
-    Ok(Some((request, len + size)))
-}
 
-fn write_answer(out: &mut Vec<u8>, answer: &HttpAnswer, close: bool) {
-    let HttpAnswer {
-        status,
-        media,
-        comeback,
-        body,
-    } = answer;
-    let mut head = vec![format!("HTTP/1.1 {status} {}", reason(*status))];
-    if !body.is_empty() {
-        head.push(format!("Content-Type: {media}"));
-    }
-    if let Some(seconds) = comeback {
-        head.push(format!("Retry-After: {seconds}"));
+    /// Counts what a connection holds, and closes connections while all of them hold too much.
+    fn count(&mut self, now: Time, conn: ConnNo, events: &mut Vec<HttpEvent>) {
+        if let Some(row) = self.conns.get_mut(&conn) {
+            self.held -= row.held;
+            self.held += row.count(now);
+        }
+        while self.held > self.limits.buffers {
+            let holding = self.conns.iter().filter(|(_, c)| c.held > 0);
+            let oldest = holding.min_by_key(|(conn, c)| (c.open, c.since, **conn));
+            let Some((&conn, _)) = oldest else {
+                return;
+            };
+            self.shed += 1;
+            self.drop_conn(conn, events);
+        }
     }
-    if close {
-        head.push("Connection: close".to_owned());
+
+    fn drop_conn(&mut self, conn: ConnNo, events: &mut Vec<HttpEvent>) {
+        if self.remove(conn) {
+            events.push(HttpEvent::Gone(conn));
+        }
     }
-    head.push(format!("Content-Length: {}\r\n\r\n", body.len()));
-    out.extend_from_slice(head.join("\r\n").as_bytes());
-    out.extend_from_slice(body);
-}
 
-/// Returns the usual phrase for a status.
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        410 => "Gone",
-        411 => "Length Required",
-        413 => "Content Too Large",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Answer",
+    /// Removes a connection. Returns whether a request of it was open.
+    fn remove(&mut self, conn: ConnNo) -> bool {
+        let Some(row) = self.conns.remove(&conn) else {
+            return false;
+        };
+        self.held -= row.held;
+        row.open
     }
 }
--- a/crates/chervilring_daemon/src/net/listener.rs
+++ b/crates/chervilring_daemon/src/net/listener.rs
@@ -1,8 +1,10 @@
 //! The listening TCP socket.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 
+use socket2::SockRef;
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream};
@@ -13,6 +15,8 @@
 /// A listening TCP socket.
 pub struct Listener {
     socket: MioSource<TcpListener>,
+    /// Whether the system had no room for a connection that waits.
+    failed: Cell<bool>,
 }
 
 impl Listener {
@@ -24,7 +28,22 @@
     pub fn bind(poll: &MioPoll, addr: SocketAddr, ready: Fwd<Ready>) -> io::Result<Self> {
         let socket = TcpListener::bind(addr)?;
         let socket = poll.add(socket, Interest::READABLE, LINK_PRIORITY, ready)?;
-        Ok(Self { socket })
+        Ok(Self {
+            socket,
+            failed: Cell::new(false),
+        })
+    }
+
+    /// Sets how many bytes the system holds of an accepted connection that is not read.
+    pub fn set_receive_buffer(&self, bytes: usize) {
+        let socket = SockRef::from(&*self.socket);
+        // A system that refuses keeps its own size, which works too.
+        drop(socket.set_recv_buffer_size(bytes));
+    }
+
+    /// Returns whether connections may wait that the system had no room for, and forgets it.
+    pub fn take_failed(&self) -> bool {
+        self.failed.take()
     }
 
     /// Returns the address with the port that the system chose.
@@ -42,11 +61,14 @@
             match self.socket.accept() {
                 Ok((stream, _)) => return Some(stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                // The peer has gone already, or a limit of the system is reached: the next
-                // connection is tried, and the peer dials again.
+                // The peer has gone already: the next connection is tried.
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return None,
+                // A limit of the system is reached; nothing is told once there is room again.
+                Err(_) => {
+                    self.failed.set(true);
+                    return None;
+                }
             }
         }
     }
--- a/crates/chervilring_daemon/src/net/mod.rs
+++ b/crates/chervilring_daemon/src/net/mod.rs
@@ -3,6 +3,8 @@
 mod clock;
 mod datagrams;
 mod event_loop;
+mod http_conn;
+mod http_message;
 mod http_port;
 mod inbox;
 mod ip_client;
@@ -13,7 +15,8 @@
 pub use clock::Clock;
 pub use datagrams::Datagrams;
 pub use event_loop::EventLoop;
-pub use http_port::{ConnNo, HttpAnswer, HttpEvent, HttpPort, HttpReady, HttpRequest};
+pub use http_message::{HttpAnswer, HttpRequest};
+pub use http_port::{ConnNo, HttpEvent, HttpPort, HttpReady, PortLimits};
 pub use inbox::Inbox;
 pub use ip_client::{ConnectGate, gated_ip_client, ip_addr, ip_client};
 pub use links::{LinkEvent, LinkId, LinkState, Links};
--- a/crates/chervilring_daemon/src/runs/mod.rs
+++ b/crates/chervilring_daemon/src/runs/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod dialect;
 mod keeper;
+mod limits;
 mod operator;
 mod pause;
 mod planner;
@@ -23,6 +24,7 @@
 mod told;
 
 pub use dialect::{CallerCall, CallerDialect, WorkerDialect, WorkerNotice};
+pub use limits::HostLimits;
 pub use planner::run_planner;
 pub use registry::{EvacuationReading, OperatorChange, OperatorReading, Registry, StoreEvent};
 pub use runner::run_runner;
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -102,19 +102,19 @@
     let callers = ports::listen(
         &poll,
         config.callers,
-        FIRST_BODY,
+        config.limits.callers(FIRST_BODY),
         fwd_to!([actor], callers() as (HttpReady)),
     )?;
     let ready = ports::listen(
         &poll,
         config.ready,
-        SMALL_BODY,
+        config.limits.internal(SMALL_BODY),
         fwd_to!([actor], ready() as (HttpReady)),
     )?;
     let metrics = ports::listen(
         &poll,
         config.metrics,
-        FIRST_BODY,
+        config.limits.internal(FIRST_BODY),
         fwd_to!([actor], metrics() as (HttpReady)),
     )?;
     let listener = Listener::bind(&poll, config.runners, fwd_to!([actor], accept() as (Ready)))
@@ -298,15 +298,16 @@
         }
         if now >= self.sweep {
             self.sweep = now + SWEEP;
-            self.parts.callers.sweep(now);
-            self.parts.ready.sweep(now);
-            self.parts.metrics.sweep(now);
+            ports::sweep(&mut self.parts.callers, now, "callers", &self.parts.log);
+            ports::sweep(&mut self.parts.ready, now, "ready", &self.parts.log);
+            ports::sweep(&mut self.parts.metrics, now, "metrics", &self.parts.log);
         }
         self.check_stop(cx, now);
+        self.look_again(cx);
         self.set_timer(cx);
     }
 
-    /// Carries out the planner's steps; returns what came in behind answered requests.
+    /// Carries out the planner's steps; returns which callers have left because of them.
     fn steps(&mut self, now: Time) -> Vec<HttpEvent> {
         let mut events = Vec::new();
         for step in self.parts.planner.drain() {
--- a/crates/chervilring_daemon/src/runs/planner/explaining.rs
+++ b/crates/chervilring_daemon/src/runs/planner/explaining.rs
@@ -24,8 +24,7 @@
 impl PlannerActor {
     /// Serves metrics and explanations.
     pub(super) fn serve_operators(&mut self, now: Time, ready: HttpReady) {
-        let mut events = self.parts.metrics.handle(now, ready);
-        while let Some(event) = events.pop() {
+        for event in self.parts.metrics.handle(now, ready) {
             let HttpEvent::Request(conn, request) = event else {
                 continue;
             };
@@ -34,7 +33,8 @@
             } else {
                 ports::metrics_answer(&self.parts.report.metrics)
             };
-            events.extend(self.parts.metrics.answer(now, conn, &answer));
+            // All requests of this port are answered at once, so that nobody can have left before.
+            drop(self.parts.metrics.answer(now, conn, &answer));
         }
     }
 
--- a/crates/chervilring_daemon/src/runs/planner/serving.rs
+++ b/crates/chervilring_daemon/src/runs/planner/serving.rs
@@ -1,8 +1,10 @@
 //! The ports of a planner for callers, the balancer and metrics.
 
+use std::time::Duration;
+
 use chervilring_core::runs::planner::Caller;
 use chervilring_wire::Time;
-use stakker::CX;
+use stakker::{CX, after};
 
 use super::super::dialect::CallerCall;
 use super::PlannerActor;
@@ -18,7 +20,20 @@
         self.carry_soon(cx);
     }
 
-    /// Takes in what callers send, and what came in behind requests that are answered by it.
+    /// Has the ports looked at again on which something waits behind what is answered.
+    pub(super) fn look_again(&mut self, cx: CX![]) {
+        if self.parts.callers.take_pending() {
+            after!(Duration::ZERO, [cx], callers(HttpReady::Pending));
+        }
+        if self.parts.ready.take_pending() {
+            after!(Duration::ZERO, [cx], ready(HttpReady::Pending));
+        }
+        if self.parts.metrics.take_pending() {
+            after!(Duration::ZERO, [cx], metrics(HttpReady::Pending));
+        }
+    }
+
+    /// Takes in what callers send, and that others have left because of it.
     pub(super) fn caller_events(&mut self, now: Time, events: Vec<HttpEvent>) {
         let mut queue = std::collections::VecDeque::from(events);
         while let Some(event) = queue.pop_front() {
@@ -41,7 +56,7 @@
         }
     }
 
-    /// Serves what a caller asks for; returns what came in behind it.
+    /// Serves what a caller asks for; returns which callers have left because of it.
     fn serve(&mut self, now: Time, conn: ConnNo, call: CallerCall) -> Vec<HttpEvent> {
         let dialect = self.parts.dialect;
         let answer = match call {
--- a/crates/chervilring_daemon/src/runs/ports.rs
+++ b/crates/chervilring_daemon/src/runs/ports.rs
@@ -7,10 +7,12 @@
 use stakker::Fwd;
 use stakker_mio::MioPoll;
 
+use slog::{Logger, warn};
+
 use crate::metrics::Metrics;
-use crate::net::{HttpAnswer, HttpPort, HttpReady};
+use crate::net::{HttpAnswer, HttpPort, HttpReady, PortLimits};
 
-/// Listens on an address for requests with a body of up to `body` bytes.
+/// Listens on an address for requests.
 ///
 /// # Errors
 ///
@@ -18,10 +20,10 @@
 pub(super) fn listen(
     poll: &MioPoll,
     addr: SocketAddr,
-    body: usize,
+    limits: PortLimits,
     ready: Fwd<HttpReady>,
 ) -> eyre::Result<HttpPort> {
-    let port = HttpPort::bind(poll, addr, body, ready);
+    let port = HttpPort::bind(poll, addr, limits, ready);
     port.wrap_err_with(|| format!("cannot listen on {addr}"))
 }
 
@@ -30,6 +32,15 @@
     port.serve(now, ready, |_| metrics_answer(metrics));
 }
 
+/// Closes what has stood for too long at a port, and logs what a limit has closed since the last time.
+pub(super) fn sweep(port: &mut HttpPort, now: Time, name: &'static str, log: &Logger) {
+    port.sweep(now);
+    let closed = port.take_shed();
+    if closed > 0 {
+        warn!(log, "connections closed at a limit"; "port" => name, "connections" => closed);
+    }
+}
+
 /// Returns the answer to a request for metrics.
 pub(super) fn metrics_answer(metrics: &Metrics) -> HttpAnswer {
     HttpAnswer {
--- a/crates/chervilring_daemon/src/runs/runner.rs
+++ b/crates/chervilring_daemon/src/runs/runner.rs
@@ -5,13 +5,16 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::{self, Sender};
 use std::thread;
+use std::time::Duration;
 
 use chervilring_core::runs::Runner;
 use chervilring_core::runs::planner::LinkNo;
 use chervilring_core::runs::runner::{Dialer, RunnerStep, UpstreamRecord};
 use chervilring_wire::Time;
 use slog::{Logger, info, warn};
-use stakker::{ActorOwn, CX, FixedTimerKey, StopCause, actor_new, at, call, fwd_to, ret_shutdown};
+use stakker::{
+    ActorOwn, CX, FixedTimerKey, StopCause, actor_new, after, at, call, fwd_to, ret_shutdown,
+};
 
 use super::calls::{Called, Calls};
 use super::dialect::{WorkerDialect, WorkerNotice};
@@ -88,13 +91,13 @@
     let reports = ports::listen(
         &poll,
         config.reports,
-        MAX_REPORT,
+        config.limits.internal(MAX_REPORT),
         fwd_to!([actor], reports() as (HttpReady)),
     )?;
     let metrics = ports::listen(
         &poll,
         config.metrics,
-        MAX_REPORT,
+        config.limits.internal(MAX_REPORT),
         fwd_to!([actor], metrics() as (HttpReady)),
     )?;
     let links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
@@ -340,8 +343,14 @@
         }
         if now >= self.sweep {
             self.sweep = now + SWEEP;
-            self.parts.reports.sweep(now);
-            self.parts.metrics.sweep(now);
+            ports::sweep(&mut self.parts.reports, now, "reports", &self.parts.log);
+            ports::sweep(&mut self.parts.metrics, now, "metrics", &self.parts.log);
+        }
+        if self.parts.reports.take_pending() {
+            after!(Duration::ZERO, [cx], reports(HttpReady::Pending));
+        }
+        if self.parts.metrics.take_pending() {
+            after!(Duration::ZERO, [cx], metrics(HttpReady::Pending));
         }
         self.set_timer(cx);
     }
--- a/crates/chervilring_daemon/src/runs/settings.rs
+++ b/crates/chervilring_daemon/src/runs/settings.rs
@@ -4,6 +4,8 @@
 
 use chervilring_wire::{DomainName, Micros, Name};
 
+use super::limits::HostLimits;
+
 /// The settings of a planner.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlannerConfig {
@@ -25,6 +27,8 @@
     pub resend: Option<Micros>,
     /// How many times longer a task runs away from the rack of its data, if that is set.
     pub far: Option<f64>,
+    /// What the host has for the process.
+    pub limits: HostLimits,
 }
 
 /// The settings of a runner.
@@ -46,6 +50,8 @@
     pub lease: Micros,
     /// How long a planned stop may take.
     pub grace: Micros,
+    /// What the host has for the process.
+    pub limits: HostLimits,
 }
 
 /// Reads settings again: new ones, none where they are as before, or why they are not usable.
