Planners: the memory that jobs take is bounded by the host's limits

What was seen: sixty small bodies with 20,000 tasks each take 224,120 KiB of a planner whose settings say 65,536. Cause: a job was bounded by its number of tasks alone, their sum was not; a specification could be as long as the body, and the name of a sending as long as the head.

Change: a planner counts about what its jobs take, by their tasks, steps and texts, and refuses at once what does not fit beside others, with 503 and when to come back; it has not run and never will. A job that is alone always fits. Jobs of which nothing was sent are not remembered after their answer.

Tests: tests/runs/job_memory.rs.

--- a/crates/chervilring_core/src/runs/planner/job.rs
+++ b/crates/chervilring_core/src/runs/planner/job.rs
@@ -14,6 +14,12 @@
 /// The interval of the check whether a waiting task can still finish before its caller leaves.
 const RECHECK_INTERVAL: Micros = Micros::from_millis(10);
 
+/// The memory that a job takes beside its steps and tasks, in bytes.
+const JOB_MEMORY: usize = 1 << 10;
+
+/// The memory that a task takes with its run and the messages about it, in bytes.
+const TASK_MEMORY: usize = 1 << 10;
+
 /// Identifies a caller that waits for an answer. Never reused within a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Caller(pub u64);
@@ -299,6 +305,23 @@
         self.steps.iter().map(of_step).fold(0, u64::saturating_add)
     }
 
+    /// Returns about how much memory it takes while it is in hand, in bytes.
+    pub fn footprint(&self) -> usize {
+        let of_step = |s: &Step| {
+            let labels = [&s.required_label, &s.data_rack];
+            let labels = labels.into_iter().flatten().map(|l| l.len());
+            let dependencies = s.dependencies.len() * size_of::<usize>();
+            let tasks = (s.count as usize).saturating_mul(TASK_MEMORY);
+            size_of::<Step>() + labels.sum::<usize>() + dependencies + tasks
+        };
+        let steps = self
+            .steps
+            .iter()
+            .map(of_step)
+            .fold(0, usize::saturating_add);
+        steps.saturating_add(self.spec.len() + self.request.len() + JOB_MEMORY)
+    }
+
     /// Returns the declared run time of the longest chain of dependent steps.
     pub fn critical_path(&self) -> Micros {
         self.longest_chain(|_, step| step.declared_runtime)
--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -149,8 +149,11 @@
             return;
         };
         self.job_seqs.remove(&job.submission.id);
+        self.held -= job.submission.footprint();
         let past = job.past(now + PAST_JOB_AGE);
-        self.past_jobs.insert(job.submission.id, past);
+        if past.attempt > 0 {
+            self.past_jobs.insert(job.submission.id, past);
+        }
         for (link, runs) in runs_by_link(&job) {
             for run in &runs {
                 self.runs.remove(run);
--- a/crates/chervilring_core/src/runs/planner/settings.rs
+++ b/crates/chervilring_core/src/runs/planner/settings.rs
@@ -17,6 +17,8 @@
     pub remote_factor: f64,
     /// Whether tasks of urgent wide jobs claim room at two upstreams where it is short.
     pub claims: bool,
+    /// The memory that jobs may take, in bytes. One job alone may take more.
+    pub job_memory: usize,
 }
 
 /// A caller that is refused within this share of its objective still has time to retry elsewhere.
@@ -40,6 +42,7 @@
             resubmit_delay: RESUBMIT_DELAY,
             remote_factor: REMOTE_FACTOR,
             claims: true,
+            job_memory: usize::MAX,
         }
     }
 }
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -86,6 +86,8 @@
     /// The jobs by sequence number, in the order of arrival.
     pub(super) jobs: BTreeMap<u64, Job>,
     pub(super) job_seqs: FxHashMap<JobId, u64>,
+    /// The memory that the jobs take, in bytes.
+    pub(super) held: usize,
     /// The job's sequence number and the index of the task for each run.
     pub(super) runs: FxHashMap<RunKey, (u64, usize)>,
     pub(super) links: BTreeMap<LinkNo, Upstream>,
@@ -129,6 +131,7 @@
             settings,
             jobs: BTreeMap::new(),
             job_seqs: FxHashMap::default(),
+            held: 0,
             runs: FxHashMap::default(),
             links: BTreeMap::new(),
             profiles: FxHashMap::default(),
@@ -181,6 +184,8 @@
         self.last_seq += 1;
         let seq = self.last_seq;
         self.job_seqs.insert(submission.id, seq);
+        let footprint = submission.footprint();
+        self.held += footprint;
         let past = self.past_jobs.get(&submission.id);
         let job = Job {
             tasks: tasks(&submission, now, past),
@@ -203,6 +208,10 @@
             self.answer_job(now, seq, JobAnswer::GaveUp);
             return;
         }
+        if self.held > self.settings.job_memory.max(footprint) {
+            self.give_up(now, seq, Refusal::Overload);
+            return;
+        }
         if self.is_unfit(seq) {
             self.give_up(now, seq, Refusal::Unfit);
             return;
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod explain;
 mod focused;
+mod job_memory;
 mod link_events;
 mod order;
 mod placing;
--- a/crates/chervilring_daemon/src/runs/limits.rs
+++ b/crates/chervilring_daemon/src/runs/limits.rs
@@ -1,7 +1,7 @@
 //! What a process may hold of what others send, by the limits of its host.
 //!
-//! A quarter of the memory goes to the buffers of callers, and a sixteenth to the buffers of each other port.
-//! The rest is left to jobs, links, the configuration and what the process itself needs.
+//! A quarter of the memory goes to the buffers of callers, a quarter to their jobs, and a sixteenth to the
+//! buffers of each other port. The rest is left to links, the configuration and what the process itself needs.
 
 use crate::net::PortLimits;
 
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns how much the jobs of a planner may take, in bytes.
+    pub(super) fn jobs(self) -> usize {
+        self.memory / 4
+    }
+
     fn sockets(self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS)
     }
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -126,6 +126,7 @@
         seed: clock.since_boot().0 ^ u64::from(runners.port()),
         resubmit_delay: config.resend.unwrap_or(usual.resubmit_delay),
         remote_factor: config.far.unwrap_or(usual.remote_factor),
+        job_memory: config.limits.jobs(),
         ..usual
     };
     info!(log, "started"; "version" => env!("CARGO_PKG_VERSION"), "callers" => %config.callers,
