Planners: links that have not introduced themselves hold little

What was seen: a hundred connections to a planner's port for links, each with the header of a frame of 64 MiB and 1 MiB of it, take 220,784 KiB where the settings say 65,536. Cause: whoever connects is trusted with a whole frame, and the number of links is left to the system.

Change: a planner takes links for a quarter of its descriptors, past that it closes the oldest over which no message has come; the first message over an accepted link has at most 64 KiB (a runner's greeting has some 100 bytes, of older builds too). Links that the system had no descriptor for are accepted within a second of there being one.

--- a/crates/chervilring_daemon/src/net/link.rs
+++ b/crates/chervilring_daemon/src/net/link.rs
@@ -14,20 +14,27 @@
 /// How much is read before the frames are handed on, in bytes.
 const READ_BATCH: usize = 1 << 20;
 
+/// The longest first message over an accepted link, in bytes: whoever has not introduced itself is not
+/// trusted with memory.
+const MAX_FIRST_MESSAGE: usize = 64 << 10;
+
 /// How much may wait to be sent before the peer counts as stuck, in bytes.
 const MAX_UNSENT: usize = 256 << 20;
 
 /// A TCP connection with its buffers.
 pub(super) struct Link {
     tcp: TcpStreamBuf,
+    /// Whether its peer has sent a whole message, or need not introduce itself.
+    pub(super) introduced: bool,
 }
 
 impl Link {
-    pub(super) fn new(stream: MioSource<TcpStream>) -> Self {
+    /// Creates a link; `introduced` says whether its peer may begin with a message of any length.
+    pub(super) fn new(stream: MioSource<TcpStream>, introduced: bool) -> Self {
         let mut tcp = TcpStreamBuf::new();
         tcp.set_nodelay(true);
         tcp.init(stream);
-        Self { tcp }
+        Self { tcp, introduced }
     }
 
     /// Appends a frame to what is to be sent.
@@ -63,9 +70,14 @@
     /// Takes the next whole frame.
     pub(super) fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>, CodecError> {
         let input = &self.tcp.inp[self.tcp.rd..self.tcp.wr];
+        let announced = codec::payload_len(input)?.unwrap_or(0);
+        if !self.introduced && announced > MAX_FIRST_MESSAGE {
+            return Err(CodecError::TooLong(announced));
+        }
         let Some((message, used)) = codec::read_frame(input)? else {
             return Ok(None);
         };
+        self.introduced = true;
         self.tcp.rd += used;
         Ok(Some(message))
     }
--- a/crates/chervilring_daemon/src/net/links.rs
+++ b/crates/chervilring_daemon/src/net/links.rs
@@ -54,6 +54,8 @@
     table: FxHashMap<LinkId, Link>,
     unsent: FxHashSet<LinkId>,
     last: u64,
+    /// The most links, if they are limited.
+    limit: Option<usize>,
 }
 
 impl Links {
@@ -65,9 +67,16 @@
             table: FxHashMap::default(),
             unsent: FxHashSet::default(),
             last: 0,
+            limit: None,
         }
     }
 
+    /// Sets how many links there may be at the most when further ones are accepted. The first message
+    /// over each of these must be short.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = Some(limit);
+    }
+
     /// Opens a link to an address. Messages may be sent at once; they leave when it is connected.
     ///
     /// # Errors
@@ -76,15 +85,27 @@
     /// [`LinkState::Closed`].
     pub fn dial(&mut self, addr: SocketAddr) -> io::Result<LinkId> {
         let stream = TcpStream::connect(addr)?;
-        self.accept(stream)
+        self.add(stream, true)
     }
 
-    /// Adds an accepted connection.
+    /// Adds an accepted connection. Past the limit the oldest link is closed over which no message has
+    /// come.
     ///
     /// # Errors
     ///
-    /// Returns the system's error when the socket cannot be polled.
+    /// Returns the system's error when the socket cannot be polled, and an error when the limit is
+    /// reached by links that are in use.
     pub fn accept(&mut self, stream: TcpStream) -> io::Result<LinkId> {
+        if self.limit.is_some_and(|limit| self.table.len() >= limit) {
+            let silent = self.table.iter().filter(|(_, l)| !l.introduced);
+            let oldest = silent.map(|(id, _)| *id).min_by_key(|id| id.0);
+            let oldest = oldest.ok_or_else(|| io::Error::other("too many links"))?;
+            self.close(oldest);
+        }
+        self.add(stream, self.limit.is_none())
+    }
+
+    fn add(&mut self, stream: TcpStream, introduced: bool) -> io::Result<LinkId> {
         self.last += 1;
         let id = LinkId(self.last);
         let ready = self.ready.clone();
@@ -97,7 +118,7 @@
         });
         let interest = Interest::READABLE | Interest::WRITABLE;
         let source = self.poll.add(stream, interest, LINK_PRIORITY, forward)?;
-        self.table.insert(id, Link::new(source));
+        self.table.insert(id, Link::new(source, introduced));
         Ok(id)
     }
 
--- a/crates/chervilring_daemon/src/runs/limits.rs
+++ b/crates/chervilring_daemon/src/runs/limits.rs
@@ -57,6 +57,11 @@
         self.memory / 4
     }
 
+    /// Returns how many links a planner takes.
+    pub(super) fn links(self) -> usize {
+        self.sockets() / 4
+    }
+
     fn sockets(self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS)
     }
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -120,7 +120,8 @@
     let listener = Listener::bind(&poll, config.runners, fwd_to!([actor], accept() as (Ready)))
         .wrap_err_with(|| format!("cannot listen on {}", config.runners))?;
     let runners = listener.local_addr()?;
-    let links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
+    let mut links = Links::new(poll.clone(), fwd_to!([actor], link_ready() as (LinkEvent)));
+    links.set_limit(config.limits.links());
     let usual = PlannerSettings::default();
     let settings = PlannerSettings {
         seed: clock.since_boot().0 ^ u64::from(runners.port()),
@@ -302,6 +303,9 @@
             ports::sweep(&mut self.parts.callers, now, "callers", &self.parts.log);
             ports::sweep(&mut self.parts.ready, now, "ready", &self.parts.log);
             ports::sweep(&mut self.parts.metrics, now, "metrics", &self.parts.log);
+            if self.parts.listener.take_failed() {
+                self.accept_links();
+            }
         }
         self.check_stop(cx, now);
         self.look_again(cx);
--- a/crates/chervilring_daemon/src/runs/planner/links.rs
+++ b/crates/chervilring_daemon/src/runs/planner/links.rs
@@ -12,12 +12,17 @@
 impl PlannerActor {
     /// Accepts links of runners.
     pub(super) fn accept(&mut self, cx: CX![], _ready: Ready) {
+        self.accept_links();
+        self.carry_soon(cx);
+    }
+
+    /// Accepts all links that wait.
+    pub(super) fn accept_links(&mut self) {
         while let Some(stream) = self.parts.listener.accept() {
             if let Err(error) = self.parts.links.accept(stream) {
                 warn!(self.parts.log, "link not accepted"; "error" => %error);
             }
         }
-        self.carry_soon(cx);
     }
 
     /// Reads from and writes to a link.
--- a/crates/chervilring_wire/src/codec.rs
+++ b/crates/chervilring_wire/src/codec.rs
@@ -86,6 +86,22 @@
 /// Returns an error when the bytes cannot become a valid frame, whatever follows them. The
 /// connection must then be closed.
 pub fn read_frame<T: DeserializeOwned>(input: &[u8]) -> Result<Option<(T, usize)>, CodecError> {
+    let Some(len) = payload_len(input)? else {
+        return Ok(None);
+    };
+    let Some(payload) = input.get(FRAME_HEADER..FRAME_HEADER + len) else {
+        return Ok(None);
+    };
+    Ok(Some((decode(payload)?, FRAME_HEADER + len)))
+}
+
+/// Returns the size of the payload that the frame at the start of `input` announces, in bytes, or `None`
+/// when its header is incomplete.
+///
+/// # Errors
+///
+/// Returns an error when the bytes cannot become a valid frame, whatever follows them.
+pub fn payload_len(input: &[u8]) -> Result<Option<usize>, CodecError> {
     check_prefix(input)?;
     let Some(field) = input.get(4..FRAME_HEADER) else {
         return Ok(None);
@@ -94,10 +110,7 @@
     if len > MAX_FRAME {
         return Err(CodecError::TooLong(len));
     }
-    let Some(payload) = input.get(FRAME_HEADER..FRAME_HEADER + len) else {
-        return Ok(None);
-    };
-    Ok(Some((decode(payload)?, FRAME_HEADER + len)))
+    Ok(Some(len))
 }
 
 /// Encodes a message as one datagram.
