Runners: runs that an upstream leaves behind as it has announced are no crash (LOST)

A review of the trace found that three of the four runs that the two jobs lost were at upstreams that had announced to drain 2 to 4.5 s before (a spot removal, a release): the runner told their ends as Lapsed, which stands for a crash.

Cause: a refused connection, a successor at the address or a restart under the id was told as a crash whatever the upstream had announced; several causes that end alike were one.

Change: an upstream that had said that it drains or leaves ends runs as Stopped. A run that stood still with an upstream that is gone is no sample of its speed, as it would be as Stopped. Planners of older builds read both as before.

Why it works: each way in which a runner takes runs for over as their process has ended asks the upstream's last own report now: refused connections and expired leases, replacements, successors at the address, restarts under the id.

Tests: tests/runs/departures.rs; two of three failed before (Lapsed in place of Stopped, in each of the six combinations of announcement and successor); the third holds that an end without notice is told as a crash as before.

--- a/crates/chervilring_core/src/runs/runner/incarnations.rs
+++ b/crates/chervilring_core/src/runs/runner/incarnations.rs
@@ -5,6 +5,7 @@
 use super::call::RunLists;
 use super::event::RunnerEvent;
 use super::record::UpstreamRecord;
+use super::replacement::run_end;
 use super::state::{RunState, Runner, RunnerStep};
 use super::upstream::{Availability, Report, Upstream};
 use crate::runs::speed::Speed;
@@ -122,7 +123,13 @@
         // Calls to an earlier incarnation that arrive late are refused by this one.
         self.fencing_token += 1;
         let clock = report.clock;
+        let is_exit = |before: &Upstream| {
+            let before_id = &before.report.incarnation.id;
+            before.has_announced_exit() && *before_id == report.incarnation.id
+        };
+        let prior_end = run_end(self.upstream.as_ref().is_some_and(is_exit));
         let mut upstream = Upstream::new(report);
+        upstream.prior_end = prior_end;
         if let Some(clock) = clock {
             upstream.lease.record_clock(now, clock);
         }
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -110,8 +110,12 @@
     /// the upstream answered their start or stop.
     fn finish_missing_runs(&mut self, now: Time, sent: Time, lists: &RunLists) {
         let active = |run: &RunKey| lists.active.iter().any(|row| row.run == *run);
+        let prior_end = self
+            .upstream
+            .as_ref()
+            .map_or(RunEnd::Lapsed, |u| u.prior_end);
         let missing = |state: RunState| match state {
-            RunState::Running(since) if since < sent => Some(RunEnd::Lapsed),
+            RunState::Running(since) if since < sent => Some(prior_end),
             RunState::Stopped(since) if since < sent => Some(RunEnd::Stopped),
             _ => None,
         };
--- a/crates/chervilring_core/src/runs/runner/replacement.rs
+++ b/crates/chervilring_core/src/runs/runner/replacement.rs
@@ -40,13 +40,23 @@
     /// Returns how its runs have ended once it is gone.
     pub(super) fn run_end(&self) -> RunEnd {
         match self.silence {
-            Silence::Crashed => RunEnd::Lapsed,
+            Silence::Crashed => run_end(self.has_announced_exit()),
             // Silence alone does not tell whether it has crashed.
             Silence::Unexplained | Silence::Replaced => RunEnd::Stopped,
         }
     }
 }
 
+/// Returns how runs have ended whose upstream's process has: a process that ends as it has announced has
+/// not crashed.
+pub(super) fn run_end(was_announced: bool) -> RunEnd {
+    if was_announced {
+        RunEnd::Stopped
+    } else {
+        RunEnd::Lapsed
+    }
+}
+
 /// The upstream of a run that was left behind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Predecessor {
@@ -57,6 +67,8 @@
     pub(super) expiry: Time,
     /// What its runs then count as.
     end: RunEnd,
+    /// What they count as once its process has ended.
+    exit_end: RunEnd,
 }
 
 impl Run {
@@ -117,6 +129,7 @@
             started_ms: incarnation.started_ms,
             expiry: upstream.lease.runs_end_by(now, self.max_lease),
             end: upstream.run_end(),
+            exit_end: run_end(upstream.has_announced_exit()),
         };
         let event = RunnerEvent::UpstreamReplaced {
             id: incarnation.id.clone(),
@@ -138,7 +151,7 @@
                     self.abandon_queued(now, run, RefuseReason::Closed);
                 }
                 RunState::Detached(_) => {}
-                _ if has_ended => self.finish_run(now, run, RunEnd::Lapsed),
+                _ if has_ended => self.finish_run(now, run, predecessor.exit_end),
                 _ => self.set_state(run, RunState::Detached(predecessor)),
             }
         }
@@ -157,7 +170,7 @@
         let current = upstream.report.incarnation.clone();
         self.end_detached_runs(now, |p| {
             let is_succeeded = p.addr == current.addr && p.started_ms != current.started_ms;
-            is_succeeded.then_some(RunEnd::Lapsed)
+            is_succeeded.then_some(p.exit_end)
         });
     }
 
--- a/crates/chervilring_core/src/runs/runner/stops.rs
+++ b/crates/chervilring_core/src/runs/runner/stops.rs
@@ -5,6 +5,7 @@
 use super::call::{CallOutcome, CallRefusal};
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
+use super::upstream::Upstream;
 use crate::runs::bounds::MAX_UNHEARD_TIME;
 
 /// The weight of the past in the moving average of run times.
@@ -103,14 +104,18 @@
             _ => row.accepted,
         };
         let elapsed = now.duration_since(since);
+        let is_gone = self.upstream.as_ref().is_some_and(Upstream::is_gone);
         match end {
             RunEnd::Done => {
                 self.mean_run_time =
                     self.mean_run_time * MEAN_DECAY + elapsed.0 as f64 * (1.0 - MEAN_DECAY);
                 self.speed.record(row.declared_runtime, elapsed);
             }
-            // The pace of a stopped run is also a sample of the upstream's speed.
-            RunEnd::Stopped if elapsed >= MIN_SAMPLE => self.speed.record(row.work_done(), elapsed),
+            // The pace of a stopped run is also a sample of the upstream's speed, unless it stood still with
+            // an upstream that is gone.
+            RunEnd::Stopped if elapsed >= MIN_SAMPLE && !is_gone => {
+                self.speed.record(row.work_done(), elapsed);
+            }
             RunEnd::Stopped | RunEnd::Failed | RunEnd::Lapsed => {}
         }
         self.steps
--- a/crates/chervilring_core/src/runs/runner/upstream.rs
+++ b/crates/chervilring_core/src/runs/runner/upstream.rs
@@ -1,6 +1,6 @@
 //! The runner's view of its upstream.
 
-use chervilring_wire::{DomainName, Name, Resources, ServiceName, Time};
+use chervilring_wire::{DomainName, Name, Resources, RunEnd, ServiceName, Time};
 use serde::{Deserialize, Serialize};
 
 use super::call::UpstreamIncarnation;
@@ -87,6 +87,8 @@
     pub(super) silence: Silence,
     /// Whether the report is from this incarnation.
     pub(super) report_current: bool,
+    /// How runs have ended that were at the incarnation before it under the same id.
+    pub(super) prior_end: RunEnd,
 }
 
 impl Upstream {
@@ -103,9 +105,15 @@
             missed_polls: 0,
             silence: Silence::Unexplained,
             report_current: true,
+            prior_end: RunEnd::Lapsed,
         }
     }
 
+    /// Returns whether it has announced that it is going to exit.
+    pub(super) fn has_announced_exit(&self) -> bool {
+        self.report.state != Availability::Ready
+    }
+
     /// Returns whether it accepts new runs.
     pub(super) fn is_accepting(&self) -> bool {
         let ready = self.report.state == Availability::Ready;
--- a/crates/chervilring_core/tests/runs/main.rs
+++ b/crates/chervilring_core/tests/runs/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod crashes;
+mod departures;
 mod dial;
 mod down;
 mod evacuation;
--- a/crates/chervilring_core/tests/runs/replaced.rs
+++ b/crates/chervilring_core/tests/runs/replaced.rs
@@ -30,10 +30,10 @@
 const SILENCE_TIME: u64 = 200;
 
 /// A runner and the upstreams on its host. They tell what runs; the runner tells what it takes for over.
-struct Host {
-    runner: Runner,
-    now: Time,
-    upstreams: Vec<Upstream>,
+pub(crate) struct Host {
+    pub(crate) runner: Runner,
+    pub(crate) now: Time,
+    pub(crate) upstreams: Vec<Upstream>,
     /// Until when each upstream leaves its calls unanswered. It does not carry them out.
     mute_until: Vec<Time>,
     /// Whether each upstream accepts connections.
@@ -41,15 +41,15 @@
     link: LinkNo,
     acked: u64,
     hellos: usize,
-    ends: Vec<RunEnd>,
+    pub(crate) ends: Vec<RunEnd>,
     refused: usize,
     /// Runs that were told to be over while an upstream went on with them.
-    early: Vec<String>,
+    pub(crate) early: Vec<String>,
 }
 
 impl Host {
     /// Returns a runner whose first upstream has one run.
-    fn with_run() -> Self {
+    pub(crate) fn with_run() -> Self {
         let now = Time(10_000_000);
         let lease = Micros::from_secs(1);
         let mut host = Self {
@@ -90,12 +90,12 @@
     }
 
     /// Starts the next upstream, which reports at once.
-    fn start_successor(&mut self, id: &str, port: u16) {
+    pub(crate) fn start_successor(&mut self, id: &str, port: u16) {
         let place = self.add(id, port);
         self.report(place);
     }
 
-    fn report(&mut self, place: usize) {
+    pub(crate) fn report(&mut self, place: usize) {
         let report = self.upstreams[place].report(self.now);
         self.runner.handle_report(self.now, report);
     }
@@ -143,7 +143,7 @@
     }
 
     /// Plays so many milliseconds.
-    fn play(&mut self, millis: u64) {
+    pub(crate) fn play(&mut self, millis: u64) {
         for _ in 0..millis {
             self.now = self.now + Micros::from_millis(1);
             for upstream in &mut self.upstreams {
--- a/crates/chervilring_wire/src/run.rs
+++ b/crates/chervilring_wire/src/run.rs
@@ -292,8 +292,8 @@
 pub struct RunnerLevel(u8);
 
 impl RunnerLevel {
-    /// From this level on, [`RunEnd::Lapsed`] says that the upstream has crashed. Before, it also stood
-    /// for a lease that had expired.
+    /// From this level on, [`RunEnd::Lapsed`] says that the upstream's process has ended, as far as the
+    /// runner knows without having announced it. Before, it also stood for a lease that had expired.
     pub const CRASHES: Self = Self(1);
 
     /// From this level on, the runner knows the messages on room that is short, which
@@ -393,7 +393,7 @@
     Done,
     /// The task or the upstream failed.
     Failed,
-    /// The run was stopped: on request, or as its lease expired.
+    /// The run was stopped: on request, as its lease expired, or as the upstream exited as announced.
     Stopped,
     /// The upstream crashed while it had the run, or, below [`RunnerLevel::CRASHES`], the lease expired.
     Lapsed,
