--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -27,7 +27,7 @@
 pub enum JobAnswer {
     /// All tasks are done.
     Completed,
-    /// A task has failed as many times as its route allows, each time by its upstream's own lists.
+    /// Upstreams have listed as many failed runs of a task as its route allows.
     Failed,
     /// No task has run, and none will.
     Refused(Refusal),
--- a/crates/chervilring_core/src/runs/runner/lists.rs
+++ b/crates/chervilring_core/src/runs/runner/lists.rs
@@ -62,6 +62,9 @@
             if let Some(upstream) = &mut self.upstream {
                 upstream.acked = upstream.acked.max(row.seq);
             }
+            if !self.is_at_upstream(&row.run) {
+                continue;
+            }
             // An upstream that lists the end of a run has not crashed under it: its lease ran out.
             let end = match row.end {
                 RunEnd::Lapsed => RunEnd::Stopped,
@@ -71,7 +74,11 @@
         }
         let mut has_unknown = false;
         for row in &lists.active {
+            let is_here = self.is_at_upstream(&row.run);
             if let Some(known) = self.runs.get_mut(&row.run) {
+                if !is_here {
+                    continue;
+                }
                 known.percent = row.percent;
                 let listed = Progress {
                     percent: row.percent,
@@ -106,6 +113,18 @@
         self.send_progress(now, lists);
     }
 
+    /// Returns whether a run may be at the current upstream, so that its lists tell of that run. What
+    /// they say of one that has not been sent there, or was left behind at another one, belongs to an
+    /// earlier sending with the same attempt number.
+    fn is_at_upstream(&self, run: &RunKey) -> bool {
+        let incarnation = self.upstream.as_ref().map(|u| &u.report.incarnation);
+        self.runs.get(run).is_some_and(|row| match &row.state {
+            RunState::Queued | RunState::Claimed(_) => false,
+            RunState::Detached(predecessor) => incarnation.is_some_and(|i| predecessor.is(i)),
+            _ => true,
+        })
+    }
+
     /// Ends runs that the upstream lists neither as active nor as ended, if the poll was sent after
     /// the upstream answered their start or stop.
     fn finish_missing_runs(&mut self, now: Time, sent: Time, lists: &RunLists) {
--- a/crates/chervilring_core/src/runs/runner/replacement.rs
+++ b/crates/chervilring_core/src/runs/runner/replacement.rs
@@ -15,6 +15,7 @@
 
 use chervilring_wire::{Micros, RefuseReason, RunEnd, RunKey, Time};
 
+use super::call::UpstreamIncarnation;
 use super::event::RunnerEvent;
 use super::state::{Run, RunState, Runner, RunnerStep};
 use super::upstream::{Reachability, Report, Silence, Upstream};
@@ -71,6 +72,13 @@
     exit_end: RunEnd,
 }
 
+impl Predecessor {
+    /// Returns whether it is this incarnation.
+    pub(super) fn is(&self, incarnation: &UpstreamIncarnation) -> bool {
+        (self.addr, self.started_ms) == (incarnation.addr, incarnation.started_ms)
+    }
+}
+
 impl Run {
     /// Returns the upstream that it was left behind at, if it was.
     pub(super) fn predecessor(&self) -> Option<&Predecessor> {
--- a/crates/chervilring_core/tests/runs/departures.rs
+++ b/crates/chervilring_core/tests/runs/departures.rs
@@ -55,3 +55,29 @@
     host.play(1_500);
     assert_eq!(host.ends, [RunEnd::Lapsed]);
 }
+/// Guards against an end of an earlier sending that counts for a run of a later one at another upstream.
+#[test]
+fn the_end_of_an_earlier_sending_ends_no_run_of_a_later_one() {
+    let mut host = Host::with_run();
+    host.mute(0, 5_000);
+    host.play(1);
+    let now = host.now;
+    let (_, run) = host.upstreams[0].active.iter_mut().next().expect("a run");
+    (run.fails, run.end) = (true, now);
+    host.play(1_200);
+    assert_eq!(host.ends, [RunEnd::Stopped]);
+    host.start_successor("u1", 2);
+    host.play(300);
+    host.ends.clear();
+    host.start(0..1);
+    host.play(300);
+    assert_eq!(host.active(1), 1);
+    // The successor is gone, and the upstream of before answers again.
+    host.listening[1] = false;
+    host.mute_until[0] = host.now;
+    host.play(2);
+    host.report(0);
+    host.play(1_500);
+    assert_eq!(host.early, Vec::<String>::new());
+    assert_ne!(host.ends, [RunEnd::Failed]);
+}
--- a/crates/chervilring_core/tests/runs/replaced.rs
+++ b/crates/chervilring_core/tests/runs/replaced.rs
@@ -35,9 +35,9 @@
     pub(crate) now: Time,
     pub(crate) upstreams: Vec<Upstream>,
     /// Until when each upstream leaves its calls unanswered. It does not carry them out.
-    mute_until: Vec<Time>,
+    pub(crate) mute_until: Vec<Time>,
     /// Whether each upstream accepts connections.
-    listening: Vec<bool>,
+    pub(crate) listening: Vec<bool>,
     link: LinkNo,
     acked: u64,
     hellos: usize,
@@ -115,7 +115,7 @@
         self.runner.link_up(self.now, link);
     }
 
-    fn start(&mut self, indexes: Range<u32>) {
+    pub(crate) fn start(&mut self, indexes: Range<u32>) {
         let start = StartRuns {
             seq: 1,
             service: "work".into(),
@@ -134,11 +134,11 @@
     }
 
     /// Leaves the calls of an upstream unanswered for a time.
-    fn mute(&mut self, place: usize, millis: u64) {
+    pub(crate) fn mute(&mut self, place: usize, millis: u64) {
         self.mute_until[place] = self.now + Micros::from_millis(millis);
     }
 
-    fn active(&self, place: usize) -> usize {
+    pub(crate) fn active(&self, place: usize) -> usize {
         self.upstreams[place].active.len()
     }
 
