Entries: a request taken over from a lost home is not called not run

What callers saw: an idempotent request that had been passed to its home was answered with `not-run` (`no-upstream`, `no-authority`, `deadline`, or `unavailable` in a planned stop) after the link to the home was lost, although the home may have run it. docs/API.md says of `not-run`: it did not run and will not. Found in a review.

Cause: Entry::lose_forward starts such a request here under an id of the entry's own. What was kept of it was the submission with that new id, which has surely not run, so each later refusal was true of the second try only.

Evidence: of the five tests in entry/tests/takeover.rs four failed before, each with NotRun in place of MayHaveRun: NoUpstream; Unavailable; Deadline; NoAuthority and Deadline. The fifth, a request that was not passed on, is still called not run.

Why the change works: a caller has one submission and is told of all its tries, so Caller has, beside its address, what earlier tries may have done. Caller::answer is the only way to the address and raises a failure's verdict to that, so no refusal, wherever it comes from, can say less. Messages and stored values are unchanged.

The tests of the tables make callers by Caller::local and read their address by Caller::answer; what they check is unchanged. The configured entry of one of them became a function.

--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -36,7 +36,7 @@
     /// Takes a submission from a caller connected to this entry.
     pub fn submit(&mut self, now: Now, ticket: CorrelationId, submission: Submission) {
         self.counters.submitted += 1;
-        self.route(now, Caller::Local(ticket), submission);
+        self.route(now, Caller::local(ticket), submission);
     }
 
     /// Takes a submission that another entry passes to its home.
@@ -47,10 +47,7 @@
         ticket: CorrelationId,
         submission: Submission,
     ) {
-        let caller = Caller::Peer {
-            entry: entry.clone(),
-            ticket,
-        };
+        let caller = Caller::peer(entry, ticket);
         match self.membership.locate_home(submission.id) {
             _ if self.ids.get(submission.id).is_some() => self.admit(now, caller, submission),
             HomeLocation::Local => self.admit(now, caller, submission),
--- a/crates/chervilring_core/src/entry/mod.rs
+++ b/crates/chervilring_core/src/entry/mod.rs
@@ -40,7 +40,7 @@
 use held::HeldTable;
 use ids::IdTable;
 use peers::PeerTable;
-use waits::{Caller, WaitTable};
+use waits::{Address, Caller, WaitTable};
 
 pub use counters::EntryCounters;
 pub use limits::{Limits, LimitsBuilder};
@@ -275,9 +275,10 @@
 
     /// Answers a caller here or at another entry.
     fn reply(&mut self, caller: Caller, reply: Reply) {
-        let step = match caller {
-            Caller::Local(ticket) => EntryStep::Reply { ticket, reply },
-            Caller::Peer { entry, ticket } => EntryStep::Peer {
+        let (address, reply) = caller.answer(reply);
+        let step = match address {
+            Address::Local(ticket) => EntryStep::Reply { ticket, reply },
+            Address::Peer { entry, ticket } => EntryStep::Peer {
                 to: entry,
                 message: PeerMessage::Reply {
                     correlation: ticket,
--- a/crates/chervilring_core/src/entry/passing.rs
+++ b/crates/chervilring_core/src/entry/passing.rs
@@ -38,8 +38,10 @@
 
     /// Answers for a forward whose entry is gone.
     ///
-    /// An idempotent request is started here instead; anything else may have run.
+    /// An idempotent request is started here instead, and anything else refused; either may have
+    /// run at the entry that is gone.
     pub(super) fn lose_forward(&mut self, now: Now, forward: Forward) {
+        let caller = forward.caller.may_have_run();
         if let Passed::Submission(submission) = &forward.passed {
             let deadline = forward.deadline;
             if self.may_take_over(submission) && deadline > now.mono {
@@ -47,11 +49,11 @@
                 submission.origin = Origin::Generated;
                 submission.id = self.local_id();
                 submission.remaining = Some(now.mono.duration_until(deadline));
-                return self.admit(now, forward.caller, submission);
+                return self.admit(now, caller, submission);
             }
         }
         let refusal = failure(Verdict::MayHaveRun, Reason::HomeLost, Some(TAKEOVER));
-        self.refuse(forward.caller, refusal);
+        self.refuse(caller, refusal);
     }
 
     /// Returns whether a submission may run again after it may have run.
--- a/crates/chervilring_core/src/entry/queries.rs
+++ b/crates/chervilring_core/src/entry/queries.rs
@@ -20,7 +20,7 @@
 impl Entry {
     /// Takes a query from a caller connected to this entry.
     pub fn query(&mut self, now: Now, ticket: CorrelationId, id: SubmissionId, query: Query) {
-        let caller = Caller::Local(ticket);
+        let caller = Caller::local(ticket);
         // An id made up here is not on the ring: its tasks run where it arrived.
         if self.ids.get(id).is_some() {
             return self.answer_query(now, caller, id, query);
@@ -46,10 +46,7 @@
         id: SubmissionId,
         query: Query,
     ) {
-        let caller = Caller::Peer {
-            entry: entry.clone(),
-            ticket,
-        };
+        let caller = Caller::peer(entry, ticket);
         self.answer_query(now, caller, id, query);
     }
 
--- a/crates/chervilring_core/src/entry/tests.rs
+++ b/crates/chervilring_core/src/entry/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the entry's tables.
 
+mod takeover;
+
 use bytes::Bytes;
 use chervilring_wire::{
     AgentId, ConfigBlob, CorrelationId, EntryId, EntryMessage, Failure, Incarnation, Member,
@@ -10,7 +12,7 @@
 
 use super::ids::{IdTable, Known};
 use super::limits::{Limits, LimitsBuilder};
-use super::waits::{Caller, WaitTable};
+use super::waits::{Address, Caller, WaitTable};
 use super::{Entry, EntryStep};
 use crate::dispatch::{DispatchSettings, Dispatcher};
 use crate::membership::{MemberSettings, Membership};
@@ -57,6 +59,31 @@
     })
 }
 
+/// An entry that knows an idempotent service, outside any ring.
+fn configured_entry() -> Entry {
+    let id = EntryId {
+        name: "e1".into(),
+        incarnation: Incarnation(1),
+    };
+    let member = Member {
+        entry: id.clone(),
+        domain: "norte".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        draining: false,
+    };
+    let membership = Membership::new(MemberSettings::builder(member).build(), at(0));
+    let dispatcher = Dispatcher::new(DispatchSettings::new("norte".into()));
+    let mut entry = Entry::new(id, membership, dispatcher, limits().build());
+    let document = br#"{"revision":1,"note":"n","services":[{"name":"parts",
+        "limits":{"slots":3},"rules":{"idempotent":true,"deadline":"5s"}}]}"#;
+    let blob = ConfigBlob {
+        revision: Revision(1),
+        document: Bytes::from_static(document),
+    };
+    entry.configure(at(0), blob);
+    entry
+}
+
 fn refusal(table: &mut IdTable, now: Now, id: SubmissionId) -> Option<(Verdict, Reason)> {
     let checked = table.check_new(now, id);
     checked
@@ -180,26 +207,7 @@
 /// told it of the same revision must not be wiped out.
 #[test]
 fn an_agent_is_told_all_limits_while_its_services_are_unknown() {
-    let id = EntryId {
-        name: "e1".into(),
-        incarnation: Incarnation(1),
-    };
-    let member = Member {
-        entry: id.clone(),
-        domain: "norte".into(),
-        addr: ([127, 0, 0, 1], 1).into(),
-        draining: false,
-    };
-    let membership = Membership::new(MemberSettings::builder(member).build(), at(0));
-    let dispatcher = Dispatcher::new(DispatchSettings::new("norte".into()));
-    let mut entry = Entry::new(id, membership, dispatcher, limits().build());
-    let document = br#"{"revision":1,"note":"n","services":[{"name":"parts",
-        "limits":{"slots":3},"rules":{"idempotent":true,"deadline":"5s"}}]}"#;
-    let blob = ConfigBlob {
-        revision: Revision(1),
-        document: Bytes::from_static(document),
-    };
-    entry.configure(at(0), blob);
+    let mut entry = configured_entry();
     let agent = AgentId {
         name: "a1".into(),
         incarnation: Incarnation(1),
@@ -233,7 +241,7 @@
                     } else {
                         Time(now + u64::from(span))
                     };
-                    table.add(id, Caller::Local(CorrelationId(added)), until);
+                    table.add(id, Caller::local(CorrelationId(added)), until);
                     added += 1;
                 }
                 1 => left.extend(table.take(id)),
@@ -254,9 +262,9 @@
         tickets == (0..added).collect::<Vec<_>>() && table.len() == 0
     }
     fn ticket(caller: &Caller) -> u64 {
-        match caller {
-            Caller::Local(ticket) => ticket.0,
-            Caller::Peer { .. } => u64::MAX,
+        match caller.clone().answer(complete(0)).0 {
+            Address::Local(ticket) => ticket.0,
+            Address::Peer { .. } => u64::MAX,
         }
     }
     QuickCheck::new()
--- a/crates/chervilring_core/src/entry/waits.rs
+++ b/crates/chervilring_core/src/entry/waits.rs
@@ -3,12 +3,12 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use chervilring_wire::{CorrelationId, EntryId, SubmissionId, Time};
+use chervilring_wire::{CorrelationId, EntryId, Failure, Reply, SubmissionId, Time, Verdict};
 use rustc_hash::FxHashMap;
 
-/// Whom a reply goes to.
+/// Where a reply goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Caller {
+pub(super) enum Address {
     /// A caller connected to this entry.
     Local(CorrelationId),
     /// Another entry, on behalf of a caller there.
@@ -20,6 +20,59 @@
     },
 }
 
+/// Whom a reply goes to, and what is known of the submission from before.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Caller {
+    address: Address,
+    /// What the submission may have done at entries that it was passed to before: no failure that
+    /// the caller is told says less.
+    earlier: Verdict,
+}
+
+impl Caller {
+    /// Creates a caller connected to this entry.
+    pub(super) fn local(ticket: CorrelationId) -> Self {
+        Self {
+            address: Address::Local(ticket),
+            earlier: Verdict::NotRun,
+        }
+    }
+
+    /// Creates a caller at another entry.
+    pub(super) fn peer(entry: &EntryId, ticket: CorrelationId) -> Self {
+        Self {
+            address: Address::Peer {
+                entry: entry.clone(),
+                ticket,
+            },
+            earlier: Verdict::NotRun,
+        }
+    }
+
+    /// Records that the submission may have run at another entry.
+    #[must_use]
+    pub(super) fn may_have_run(self) -> Self {
+        Self {
+            earlier: self.earlier.max(Verdict::MayHaveRun),
+            ..self
+        }
+    }
+
+    /// Returns where a reply goes, and the reply as the caller is told it.
+    ///
+    /// There is no other way to the address, so that each reply is true of all tries.
+    pub(super) fn answer(self, reply: Reply) -> (Address, Reply) {
+        let reply = match reply {
+            Reply::Failed(failure) => Reply::Failed(Failure {
+                verdict: failure.verdict.max(self.earlier),
+                ..failure
+            }),
+            Reply::Complete(_) | Reply::Pending(_) => reply,
+        };
+        (self.address, reply)
+    }
+}
+
 /// The callers who wait, by submission.
 #[derive(Debug, Default)]
 pub(super) struct WaitTable {
