Entries: a full table calls no id not run that may have started at a former home

What callers saw: after the home of an id was lost, a request or job sent again under that id was answered with `not-run` and `table-full` when the table of ids of its next home was full, although agents had listed it as started. By `not-run` a caller may send the work again under any id.

Cause: Entry::check_id asked for room before it asked whether the id may have started, and took the refusal's word. The table of ids without a stamp is never emptied, so that refusal stays.

Evidence: an_id_that_was_started_at_a_former_home_is_not_called_not_run_by_a_full_table failed before: (NotRun, TableFull) in place of (MayHaveRun, TableFull). Its neighbour holds that an id that was never started is still called not run.

Why the change works: both are asked, and a refusal of an id that is not settled as never started says no less than that it may have run. Reasons, states of answers and delays are as before.

--- a/crates/chervilring_core/src/entry/intake.rs
+++ b/crates/chervilring_core/src/entry/intake.rs
@@ -154,8 +154,13 @@
         if submission.origin == Origin::Generated {
             return Ok(None);
         }
-        self.ids.check_new(now, submission.id)?;
-        match self.membership.id_status(now, submission.id) {
+        let checked = self.ids.check_new(now, submission.id);
+        let status = self.membership.id_status(now, submission.id);
+        if let Err(refusal) = checked {
+            let verdict = refusal.verdict.max(least_verdict(&status));
+            return Err(Failure { verdict, ..refusal });
+        }
+        match status {
             IdStatus::NotStarted => Ok(None),
             IdStatus::Wait(look_at) => Ok(Some(look_at)),
             IdStatus::MayHaveRun => Err(failure(Verdict::MayHaveRun, Reason::HomeLost, None)),
@@ -285,3 +290,12 @@
         Origin::Generated => Verdict::NotRun,
     }
 }
+
+/// Returns the least verdict on an id that is refused before it is started here: one that is not
+/// settled may have run at a former home.
+fn least_verdict(status: &IdStatus) -> Verdict {
+    match status {
+        IdStatus::NotStarted => Verdict::NotRun,
+        IdStatus::Wait(_) | IdStatus::MayHaveRun => Verdict::MayHaveRun,
+    }
+}
--- a/crates/chervilring_core/src/entry/tests.rs
+++ b/crates/chervilring_core/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry's tables.
 
+mod full;
 mod takeover;
 
 use bytes::Bytes;
@@ -61,6 +62,10 @@
 
 /// An entry that knows an idempotent service, outside any ring.
 fn configured_entry() -> Entry {
+    entry_with(&limits().build())
+}
+
+fn entry_with(limits: &Limits) -> Entry {
     let id = EntryId {
         name: "e1".into(),
         incarnation: Incarnation(1),
@@ -73,7 +78,7 @@
     };
     let membership = Membership::new(MemberSettings::builder(member).build(), at(0));
     let dispatcher = Dispatcher::new(DispatchSettings::new("norte".into()));
-    let mut entry = Entry::new(id, membership, dispatcher, limits().build());
+    let mut entry = Entry::new(id, membership, dispatcher, limits.clone());
     let document = br#"{"revision":1,"note":"n","services":[{"name":"parts",
         "limits":{"slots":3},"rules":{"idempotent":true,"deadline":"5s"}}]}"#;
     let blob = ConfigBlob {
--- a/crates/chervilring_core/src/entry/tests/takeover.rs
+++ b/crates/chervilring_core/src/entry/tests/takeover.rs
@@ -12,7 +12,7 @@
 use crate::entry::{Entry, EntryStep};
 
 /// A request whose caller's deadline is 5 s away.
-fn request(origin: Origin) -> Submission {
+pub(super) fn request(origin: Origin) -> Submission {
     Submission {
         id: unstamped(7),
         origin,
@@ -68,7 +68,7 @@
 }
 
 /// Runs the entry for 6 s and returns the failures that its callers got.
-fn failures(entry: &mut Entry, start: u64) -> Vec<(Verdict, Reason)> {
+pub(super) fn failures(entry: &mut Entry, start: u64) -> Vec<(Verdict, Reason)> {
     let mut failures = Vec::new();
     for millis in (start..=start + 6_000).step_by(250) {
         entry.run(at(millis));
