Random schedules: a job that is called failed has failed, and crashed tasks are not started without end

The model records which runs failed at its upstreams and which were lost as one crashed, over all incarnations. A caller may be answered `Failed` only if a task of its job has failed as often as its route allows. A planner that was told of two crashes under started runs of a task, of three under runs started or not, or of as many failures in one submission as its route allows orders no run of it that an upstream then starts; a planner is held to what it was told since it started and what upstreams saw as well. Crashes that runners tell as a lease that ran out are not counted: after silence, and when another upstream is at the same address.

A new kind of schedule: tasks of 2 to 8 s, callers that wait for 20 to 40 s, series of crashes, renewals and releases of upstreams that overlap, tasks that crash what starts them, and the faults of the other kinds.

--- a/crates/chervilring_core/tests/runs/schedules.rs
+++ b/crates/chervilring_core/tests/runs/schedules.rs
@@ -1,6 +1,8 @@
 //! Random schedules of faults, each from its seed. No task runs twice at a time, no upstream
 //! exceeds its capacity, and no run that is reported as never started has started.
 
+mod crashes;
+
 use std::env;
 use std::ops::RangeInclusive;
 
--- a/crates/chervilring_core/tests/runs/upstream.rs
+++ b/crates/chervilring_core/tests/runs/upstream.rs
@@ -61,6 +61,8 @@
     pub(crate) is_set_back: bool,
     pub(crate) active: BTreeMap<RunKey, ActiveRun>,
     pub(crate) ended: Vec<ListedEnd>,
+    /// The runs that have failed, over all incarnations.
+    pub(crate) failed: Vec<RunKey>,
     pub(crate) sequence: u64,
     last_end: u64,
     lease_end: u64,
@@ -111,6 +113,7 @@
             is_set_back: false,
             active: BTreeMap::new(),
             ended: Vec::new(),
+            failed: Vec::new(),
             sequence: 0,
             last_end: 0,
             lease_end: 0,
@@ -156,6 +159,9 @@
         self.last_end += 1;
         let seq = self.last_end;
         self.ended.push(ListedEnd { seq, run, end });
+        if end == RunEnd::Failed {
+            self.failed.push(run);
+        }
         let ended_attempts = self.ended_attempts.entry(task_of(&run)).or_default();
         *ended_attempts = (*ended_attempts).max(run.attempt);
     }
--- a/crates/chervilring_core/tests/runs/world/callers.rs
+++ b/crates/chervilring_core/tests/runs/world/callers.rs
@@ -16,6 +16,8 @@
     pub(crate) declared_runtime: Micros,
     pub(crate) work: u64,
     pub(crate) fails: bool,
+    /// Whether its tasks crash the upstreams that start them.
+    pub(crate) is_deadly: bool,
     pub(crate) caller_timeout: Micros,
     /// Whether the caller states its remaining time when it resubmits the job.
     pub(crate) states_remaining: bool,
@@ -100,6 +102,7 @@
             let spent = submitted.submitted_at.duration_until(self.now);
             submitted.caller_timeout = Micros(submitted.caller_timeout.0.saturating_sub(spent.0));
         }
+        self.record_submission(planner, submitted.id, submitted.count);
         self.wake_planner(planner, |core, now| {
             core.submit(now, caller, new_job(&submitted, now));
         });
@@ -116,6 +119,7 @@
                 "{now:?}: job {id} was refused after a run had started"
             ));
         }
+        self.check_failed(id, answer);
         if answer == JobAnswer::GaveUp {
             self.resubmit(job);
         }
@@ -165,6 +169,7 @@
         declared_runtime: Micros::from_millis(millis),
         work: millis * 1_000,
         fails: false,
+        is_deadly: false,
         caller_timeout: Micros::from_millis(2_500),
         states_remaining: false,
         demand: Resources {
--- a/crates/chervilring_core/tests/runs/world/links.rs
+++ b/crates/chervilring_core/tests/runs/world/links.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 
 use chervilring_core::runs::planner::LinkNo;
-use chervilring_wire::{Micros, PlannerMessage, RunnerMessage, Time};
+use chervilring_wire::{Micros, PlannerMessage, RunEnd, RunnerMessage, Time};
 
 use super::{Direction, Event, HOP, Without, World};
 
@@ -109,6 +109,7 @@
             return;
         }
         let packet = self.reordered(packet);
+        let packet = altered(self.without, packet);
         let Some(row) = self.links.get_mut(&link) else {
             return;
         };
@@ -186,6 +187,7 @@
         let id = LinkNo(link);
         match packet {
             Packet::ToPlanner(message) if row.open => {
+                self.record_told(p, link, &message);
                 self.wake_planner(p, |core, now| core.message(now, id, message));
             }
             Packet::ToRunner(message) if row.open && !row.closed_by_runner => {
@@ -196,6 +198,7 @@
             }
             Packet::EndAtPlanner => {
                 self.mark_closed(link);
+                self.losses.close_link(link);
                 self.wake_planner(p, |core, now| core.link_down(now, id));
             }
             Packet::EndAtRunner => {
@@ -235,3 +238,20 @@
         }
     }
 }
+
+/// Returns a packet without what a mechanism that is left out does to it.
+fn altered(without: Without, mut packet: Packet) -> Packet {
+    match (without, &mut packet) {
+        (Without::CrashCounts, Packet::ToPlanner(RunnerMessage::Hello { link_seq, .. })) => {
+            // As of a runner that does not tell crashes from other ends.
+            *link_seq &= u64::MAX >> 8;
+        }
+        (Without::TrueEnds, Packet::ToPlanner(RunnerMessage::Ended { end, .. }))
+            if *end != RunEnd::Done =>
+        {
+            *end = RunEnd::Failed;
+        }
+        _ => {}
+    }
+    packet
+}
--- a/crates/chervilring_core/tests/runs/world/mod.rs
+++ b/crates/chervilring_core/tests/runs/world/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod evacuation;
 mod links;
+mod losses;
 mod processes;
 mod steps;
 mod successors;
@@ -20,6 +21,7 @@
 pub(crate) use evacuation::Reader;
 use evacuation::STORE_DELAY;
 use links::Link;
+use losses::Losses;
 use processes::{Process, pause, process};
 pub(crate) use successors::OddReport;
 
@@ -73,6 +75,10 @@
     Claims,
     /// Runners start claimed runs without waiting for the confirmation.
     Confirmation,
+    /// Planners do not count crashes.
+    CrashCounts,
+    /// Runners tell of all runs that they lost that they have failed.
+    TrueEnds,
     /// Runners do not guard the capacity: upstreams report more than they have.
     CapacityAccounting,
 }
@@ -212,6 +218,7 @@
     is_late_call: bool,
     /// The number of starts in failure domains that were not evacuated although others were.
     pub(crate) starts_elsewhere: u32,
+    losses: Losses,
 }
 
 impl World {
@@ -274,6 +281,7 @@
             store_delay: STORE_DELAY,
             is_late_call: false,
             starts_elsewhere: 0,
+            losses: Losses::default(),
         };
         for place in 0..planners {
             world.planners.push(process());
@@ -316,11 +324,13 @@
             let Some(what) = self.events[place].take() else {
                 continue;
             };
-            for up in &mut self.upstreams {
+            for (r, up) in self.upstreams.iter_mut().enumerate() {
                 up.advance(time);
+                self.losses.record_failures(r, up);
             }
-            for (_, up) in &mut self.beside {
+            for (r, up) in &mut self.beside {
                 up.advance(time);
+                self.losses.record_failures(*r, up);
             }
             self.handle(what);
         }
@@ -430,10 +440,7 @@
                 let until = Time(self.now.0 + span);
                 self.cuts.push((p, r, way, until));
             }
-            Event::Crash(r, span) => {
-                self.upstreams[r].crash();
-                self.at(span, Event::Drain(r + 1_000));
-            }
+            Event::Crash(r, span) => self.crash(r, span),
             Event::Mute(r, span, share) => {
                 let until = Time(self.now.0 + span);
                 self.muted.insert(r, (until, share));
@@ -445,7 +452,7 @@
             Event::Renew(r, span) => self.renew(r, span),
             Event::Release(r, span) => self.release(r, span),
             Event::Leave(r, id) => self.leave(r, &id),
-            Event::End(r, id) => self.beside.retain(|(p, up)| (*p, &up.id) != (r, &id)),
+            Event::End(r, id) => self.end_beside(r, &id),
             Event::Drain(r) if r >= 1_000 => {
                 // Crashes may overlap; one that is back already goes on.
                 let up = &mut self.upstreams[r - 1_000];
@@ -474,6 +481,13 @@
         }
     }
 
+    /// Crashes an upstream, which is back after a time.
+    fn crash(&mut self, r: usize, span: u64) {
+        self.losses.record_crash(self.now, r, &self.upstreams[r]);
+        self.upstreams[r].crash();
+        self.at(span, Event::Drain(r + 1_000));
+    }
+
     fn report(&mut self, r: usize) {
         let now = self.now;
         let report = self.upstreams[r].report(now);
--- a/crates/chervilring_core/tests/runs/world/steps.rs
+++ b/crates/chervilring_core/tests/runs/world/steps.rs
@@ -1,6 +1,7 @@
 //! Carries out the steps of planners and runners, and checks each start of a run.
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 
 use chervilring_core::runs::planner::{PlannerEvent, PlannerStep};
 use chervilring_core::runs::runner::{CallOutcome, RunnerStep, UpstreamCall};
@@ -14,6 +15,9 @@
 /// How long runs may start after the acknowledgement of a report that an upstream drains.
 const DRAIN_TIME: Micros = Micros::from_secs(2);
 
+/// How long an upstream is down that a task has crashed, in microseconds.
+const DEADLY_DOWNTIME: Range<u64> = 100_000..1_000_000;
+
 impl World {
     pub(super) fn planner_step(&mut self, p: usize, step: PlannerStep) {
         match step {
@@ -26,9 +30,11 @@
                     }
                     message => message,
                 };
+                self.record_orders(p, link.0, &message);
                 self.send(link.0, Packet::ToRunner(message));
             }
             PlannerStep::Close(link) => {
+                self.losses.close_link(link.0);
                 self.send(link.0, Packet::EndAtRunner);
             }
             PlannerStep::Answer { caller, answer, .. } => {
@@ -156,9 +162,27 @@
         };
         let outcome = upstream.handle_call(now, call, work);
         let new = upstream.active.keys().find(|k| !before.contains(k));
-        if let Some(run) = new.copied() {
-            self.started(r, listener, run);
+        let Some(run) = new.copied() else {
+            return outcome;
+        };
+        self.started(r, listener, run);
+        let is_deadly = self.jobs.iter().any(|j| j.id == run.job.0 && j.is_deadly);
+        if is_deadly && listener == Listener::Newest(r) {
+            return self.crash_by_start(r, outcome);
+        }
+        outcome
+    }
+
+    /// Crashes an upstream by what it has started, at once or soon. Returns the outcome of the start.
+    fn crash_by_start(&mut self, r: usize, outcome: CallOutcome) -> CallOutcome {
+        let down = self.rng.u64(DEADLY_DOWNTIME);
+        if self.rng.bool() {
+            self.trace(&format!("upstream {r} crashes by a start"));
+            self.crash(r, down);
+            return CallOutcome::NoAnswer;
         }
+        let span = self.rng.u64(0..100_000);
+        self.at(span, Event::Crash(r, down));
         outcome
     }
 
@@ -187,6 +211,7 @@
                 .push(format!("{now:?}: {run} starts, though its job was refused"));
         }
         self.check_evacuation(r, run);
+        self.check_losses(r, run);
         let up = self.upstream(listener);
         let is_over = !up.capacity.can_fit(&up.used());
         let is_late = up.drain_acknowledged.duration_until(now) > DRAIN_TIME;
--- a/crates/chervilring_core/tests/runs/world/successors.rs
+++ b/crates/chervilring_core/tests/runs/world/successors.rs
@@ -108,6 +108,7 @@
         }
         let report = self.upstreams[r].report(self.now);
         self.past_reports.push((r, report));
+        self.losses.record_crash(self.now, r, &self.upstreams[r]);
         let mut next = self.successor(r);
         if self.rng.bool() {
             next.addr.set_port(FOREIGN_PORT + self.successors);
@@ -132,6 +133,14 @@
         self.report(r);
     }
 
+    /// Ends an upstream that drains beside the newest one.
+    pub(super) fn end_beside(&mut self, r: usize, id: &Name) {
+        let is_it = |(place, up): &mut (usize, Upstream)| (*place, &up.id) == (r, id);
+        for (_, up) in self.beside.extract_if(.., is_it) {
+            self.losses.record_crash(self.now, r, &up);
+        }
+    }
+
     /// Announces the exit of an upstream, which follows soon, or seconds later.
     pub(super) fn leave(&mut self, r: usize, id: &Name) {
         let end = [0, 5_000, 1_500_000][self.rng.usize(0..3)];
