Runners: a crash counts also where another upstream has taken the address (bound on starts)

What callers and upstreams could have seen: a task that crashes upstreams is started without end, if they come back under new ids.

Cause: that another upstream answers at the address was treated like silence, which tells nothing. It shows that the process has ended, as one process listens at an address.

Change: the run counts as lost to a crash, unless the exit had been announced.

Test: a_crash_is_told_as_such_whenever_a_successor_at_the_address_reports failed before (Stopped, where the successor reports after a second).

--- a/crates/chervilring_core/src/runs/runner/replacement.rs
+++ b/crates/chervilring_core/src/runs/runner/replacement.rs
@@ -41,9 +41,9 @@
     /// Returns how its runs have ended once it is gone.
     pub(super) fn run_end(&self) -> RunEnd {
         match self.silence {
-            Silence::Crashed => run_end(self.has_announced_exit()),
+            Silence::Crashed | Silence::Replaced => run_end(self.has_announced_exit()),
             // Silence alone does not tell whether it has crashed.
-            Silence::Unexplained | Silence::Replaced => RunEnd::Stopped,
+            Silence::Unexplained => RunEnd::Stopped,
         }
     }
 }
--- a/crates/chervilring_core/tests/runs/departures.rs
+++ b/crates/chervilring_core/tests/runs/departures.rs
@@ -55,6 +55,21 @@
     host.play(1_500);
     assert_eq!(host.ends, [RunEnd::Lapsed]);
 }
+/// Guards against crashes that do not count as another upstream has taken the address meanwhile.
+#[test]
+fn a_crash_is_told_as_such_whenever_a_successor_at_the_address_reports() {
+    for report_after in [1, 50, 300, 1_000] {
+        let mut host = Host::with_run();
+        host.upstreams[0].crash();
+        let place = host.add("u1", 1);
+        host.play(report_after);
+        host.report(place);
+        host.play(1_500);
+        assert_eq!(host.ends, [RunEnd::Lapsed], "after {report_after} ms");
+        assert_eq!(host.early, Vec::<String>::new());
+    }
+}
+
 /// Guards against an end of an earlier sending that counts for a run of a later one at another upstream.
 #[test]
 fn the_end_of_an_earlier_sending_ends_no_run_of_a_later_one() {
--- a/crates/chervilring_core/tests/runs/replaced.rs
+++ b/crates/chervilring_core/tests/runs/replaced.rs
@@ -77,7 +77,7 @@
     }
 
     /// Starts an upstream. Later ones have a later start time.
-    fn add(&mut self, id: &str, port: u16) -> usize {
+    pub(crate) fn add(&mut self, id: &str, port: u16) -> usize {
         let place = self.upstreams.len();
         let mut upstream = Upstream::new(0, 0.98, 1.0, 8_000);
         upstream.id = id.into();
--- a/crates/chervilring_core/tests/runs/world/losses.rs
+++ b/crates/chervilring_core/tests/runs/world/losses.rs
@@ -167,8 +167,7 @@
     /// Records what a planner is told of a run that it has ordered over the same link and has not lost since.
     ///
     /// A failure or a crash counts if the upstreams saw it, and the runner says so. A planner cannot know of
-    /// others: a runner may have been killed, and tells of a crash after silence, or with another upstream at the
-    /// same address afterwards, as of a lease that ran out.
+    /// others: a runner may have been killed, and tells of a crash after silence as of a lease that ran out.
     pub(super) fn record_told(&mut self, planner: usize, link: u64, message: &RunnerMessage) {
         let (run, end) = match message {
             RunnerMessage::Started(run) => (*run, None),
