Ports: a flood of new connections does not hold up the loop

What could be seen: a process that accepts connections as long as they come does nothing else meanwhile, not even send the heartbeats by which its links live. Found by reading; no test shows it, as it would depend on the machine's speed.

Change: HTTP ports and the port for links accept 64 connections, and further ones in the next turn of the loop, after what is ready and due.

--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -41,7 +41,7 @@
         /// Whether there may be something to read.
         readable: bool,
     },
-    /// Requests came in behind others that are answered now.
+    /// Connections wait to be accepted behind others, or requests that came in behind others.
     Pending,
 }
 
@@ -80,7 +80,9 @@
     shed: u64,
     /// Connections on which something came in behind a request that is answered now.
     pending: Vec<ConnNo>,
-    /// Whether the owner was told that there are any.
+    /// Whether connections may wait behind those that were accepted last.
+    unaccepted: bool,
+    /// Whether the owner was told that something waits.
     told: bool,
     closing: bool,
 }
@@ -111,6 +113,7 @@
             held: 0,
             shed: 0,
             pending: Vec::new(),
+            unaccepted: false,
             told: false,
             closing: false,
         })
@@ -146,6 +149,9 @@
             }
             HttpReady::Pending => {
                 self.told = false;
+                if std::mem::take(&mut self.unaccepted) {
+                    self.accept_some(now, &mut events);
+                }
                 for conn in std::mem::take(&mut self.pending) {
                     self.advance(now, conn, &mut events);
                 }
@@ -184,16 +190,15 @@
     /// Returns whether [`HttpReady::Pending`] is to be handled in the next turn of the loop. Says so
     /// once for each time.
     pub fn take_pending(&mut self) -> bool {
-        !self.pending.is_empty() && !std::mem::replace(&mut self.told, true)
+        let waits = self.unaccepted || !self.pending.is_empty();
+        waits && !std::mem::replace(&mut self.told, true)
     }
 
     /// Closes connections that have stood for too long.
     pub fn sweep(&mut self, now: Time) {
         self.conns.retain(|_, c| !c.is_stale(now));
         self.held = self.conns.values().map(|c| c.held).sum();
-        if self.listener.take_failed() {
-            self.ready.fwd(HttpReady::Accept);
-        }
+        self.unaccepted |= self.listener.take_failed();
     }
 
     fn accept_some(&mut self, now: Time, events: &mut Vec<HttpEvent>) {
@@ -209,7 +214,8 @@
                 self.read(now, conn, events);
             }
         }
-        self.ready.fwd(HttpReady::Accept);
+        // Further ones are accepted in the next turn of the loop, so that they do not hold it up.
+        self.unaccepted = true;
     }
 
     /// Makes room for a connection. Returns whether there is any.
--- a/crates/chervilring_daemon/src/runs/planner.rs
+++ b/crates/chervilring_daemon/src/runs/planner.rs
@@ -304,7 +304,7 @@
             ports::sweep(&mut self.parts.ready, now, "ready", &self.parts.log);
             ports::sweep(&mut self.parts.metrics, now, "metrics", &self.parts.log);
             if self.parts.listener.take_failed() {
-                self.accept_links();
+                self.accept_links(cx);
             }
         }
         self.check_stop(cx, now);
--- a/crates/chervilring_daemon/src/runs/planner/links.rs
+++ b/crates/chervilring_daemon/src/runs/planner/links.rs
@@ -1,28 +1,37 @@
 //! The links of runners to a planner.
 
+use std::time::Duration;
+
 use chervilring_core::runs::planner::LinkNo;
 use chervilring_wire::RunnerMessage;
 use slog::warn;
-use stakker::CX;
+use stakker::{CX, after};
 use stakker_mio::Ready;
 
 use super::{Parts, PlannerActor};
 use crate::net::{LinkEvent, LinkId, LinkState};
 
+/// How many links are accepted before others are looked at.
+const ACCEPT_BATCH: usize = 64;
+
 impl PlannerActor {
     /// Accepts links of runners.
     pub(super) fn accept(&mut self, cx: CX![], _ready: Ready) {
-        self.accept_links();
-        self.carry_soon(cx);
+        self.accept_links(cx);
     }
 
-    /// Accepts all links that wait.
-    pub(super) fn accept_links(&mut self) {
-        while let Some(stream) = self.parts.listener.accept() {
+    /// Accepts links that wait; further ones in the next turn of the loop.
+    pub(super) fn accept_links(&mut self, cx: CX![]) {
+        for _ in 0..ACCEPT_BATCH {
+            let Some(stream) = self.parts.listener.accept() else {
+                return self.carry_soon(cx);
+            };
             if let Err(error) = self.parts.links.accept(stream) {
                 warn!(self.parts.log, "link not accepted"; "error" => %error);
             }
         }
+        after!(Duration::ZERO, [cx], accept_links());
+        self.carry_soon(cx);
     }
 
     /// Reads from and writes to a link.
