--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -31,7 +31,7 @@
     Failed,
     /// No task has run, and none will.
     Refused(Refusal),
-    /// Tasks may have run, but none of them is still running.
+    /// Tasks may have run. Those that run are being stopped.
     GaveUp,
 }
 
