Planners: a few large jobs do not shut out small ones

Cause: all jobs shared one bound, and a large one keeps its part as long as its caller waits.

Change: an eighth of the memory is kept for jobs that take at most a sixty-fourth of it; large ones may fill seven eighths.

--- a/crates/chervilring_core/src/runs/planner/job_ends.rs
+++ b/crates/chervilring_core/src/runs/planner/job_ends.rs
@@ -149,7 +149,8 @@
             return;
         };
         self.job_seqs.remove(&job.submission.id);
-        self.held -= job.submission.footprint();
+        let footprint = job.submission.footprint();
+        self.memory.remove(footprint, self.settings.job_memory);
         let past = job.past(now + PAST_JOB_AGE);
         if past.attempt > 0 {
             self.past_jobs.insert(job.submission.id, past);
--- a/crates/chervilring_core/src/runs/planner/mod.rs
+++ b/crates/chervilring_core/src/runs/planner/mod.rs
@@ -11,6 +11,7 @@
 mod health;
 mod job;
 mod job_ends;
+mod job_memory;
 mod links;
 mod mean_speed;
 mod messages;
--- a/crates/chervilring_core/src/runs/planner/state.rs
+++ b/crates/chervilring_core/src/runs/planner/state.rs
@@ -10,6 +10,7 @@
 use super::admission::{JobTimes, start_deadline};
 use super::event::PlannerEvent;
 use super::job::{Caller, Job, NewJob, PastJob, Task, TaskState};
+use super::job_memory::JobMemory;
 use super::links::LinkNo;
 use super::resubmission::{JobArrival, ResubmissionDetector};
 use super::retry_after::RefusedWork;
@@ -86,8 +87,8 @@
     /// The jobs by sequence number, in the order of arrival.
     pub(super) jobs: BTreeMap<u64, Job>,
     pub(super) job_seqs: FxHashMap<JobId, u64>,
-    /// The memory that the jobs take, in bytes.
-    pub(super) held: usize,
+    /// The memory that the jobs take.
+    pub(super) memory: JobMemory,
     /// The job's sequence number and the index of the task for each run.
     pub(super) runs: FxHashMap<RunKey, (u64, usize)>,
     pub(super) links: BTreeMap<LinkNo, Upstream>,
@@ -131,7 +132,7 @@
             settings,
             jobs: BTreeMap::new(),
             job_seqs: FxHashMap::default(),
-            held: 0,
+            memory: JobMemory::default(),
             runs: FxHashMap::default(),
             links: BTreeMap::new(),
             profiles: FxHashMap::default(),
@@ -185,7 +186,7 @@
         let seq = self.last_seq;
         self.job_seqs.insert(submission.id, seq);
         let footprint = submission.footprint();
-        self.held += footprint;
+        self.memory.add(footprint, self.settings.job_memory);
         let past = self.past_jobs.get(&submission.id);
         let job = Job {
             tasks: tasks(&submission, now, past),
@@ -208,7 +209,7 @@
             self.answer_job(now, seq, JobAnswer::GaveUp);
             return;
         }
-        if self.held > self.settings.job_memory.max(footprint) {
+        if !self.memory.fits(footprint, self.settings.job_memory) {
             self.give_up(now, seq, Refusal::Overload);
             return;
         }
