HTTP ports: a head that is too long is refused also when it comes whole

What clients saw: a head of 20,000 bytes that came in one piece was answered as any other, one of 40,000 bytes with a body of legal size never, as it can not fit into what is read of a request. Cause: the length of a head was looked at only while it was incomplete.

Test: a_head_that_is_too_long_is_refused_although_it_comes_whole failed before (200 in place of 431).

--- a/crates/chervilring_daemon/src/net/http_message.rs
+++ b/crates/chervilring_daemon/src/net/http_message.rs
@@ -72,6 +72,7 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let len = match head.parse(input) {
+        Ok(httparse::Status::Complete(len)) if len > MAX_HEAD => return Err(431),
         Ok(httparse::Status::Complete(len)) => len,
         Ok(httparse::Status::Partial) if input.len() > MAX_HEAD => return Err(431),
         Ok(httparse::Status::Partial) => return Ok(Input::Partial(input.len() + 1)),
