HTTP ports: what lies in sockets is bounded in both directions

What was seen (by a review, in a trial on the smallest host's settings): 200 callers that ask without end and read no answer take 317,239 KiB, 270,651 of them in the send queues of their sockets; 30 clients at the metrics port 138,537. Cause: only what lies unread was bounded and counted.

Change: sockets of HTTP ports have small buffers in both directions. Beside that: time and age of an answer run from when it was written, not from when the bytes behind its request came in; a request that needs more than is read is looked at again, so that it is refused where the limit was lowered meanwhile (both by reading, no test).

--- a/crates/chervilring_daemon/src/net/http_conn.rs
+++ b/crates/chervilring_daemon/src/net/http_conn.rs
@@ -10,8 +10,8 @@
 /// bytes.
 const READ_CHUNK: usize = 16 << 10;
 
-/// How many bytes the system may hold of a connection that is not read.
-pub(super) const RECEIVE_BUFFER: usize = 16 << 10;
+/// How many bytes the system may hold in each direction of a connection that is not read.
+pub(super) const SOCKET_BUFFER: usize = 16 << 10;
 
 /// How long a connection may stand with half a request, or while its answer is not taken.
 const HALF_TIME: Micros = Micros::from_secs(10);
@@ -65,6 +65,8 @@
     pub(super) fn read(&mut self, now: Time, limit: usize) -> Option<ReadStatus> {
         self.paused = self.waiting() > limit;
         if self.paused {
+            // A request that needs more than is read is refused.
+            self.needed = 0;
             return None;
         }
         self.grow();
@@ -121,7 +123,7 @@
         if self.tcp.out.is_empty() {
             self.tcp.out = Vec::new();
         }
-        let unread = if self.paused { RECEIVE_BUFFER } else { 0 };
+        let unread = if self.paused { SOCKET_BUFFER } else { 0 };
         self.held = self.tcp.inp.len() + self.tcp.out.capacity() + unread;
         if self.held == 0 {
             self.since = None;
--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -17,7 +17,7 @@
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready};
 
-use super::http_conn::{Conn, RECEIVE_BUFFER};
+use super::http_conn::{Conn, SOCKET_BUFFER};
 use super::http_message::{HttpAnswer, HttpRequest, MAX_HEAD, write_answer};
 use super::links::LINK_PRIORITY;
 use super::listener::Listener;
@@ -102,7 +102,7 @@
         let accept = ready.clone();
         let accept = Fwd::new(move |_: Ready| accept.fwd(HttpReady::Accept));
         let listener = Listener::bind(poll, addr, accept)?;
-        listener.set_receive_buffer(RECEIVE_BUFFER);
+        listener.set_buffers(SOCKET_BUFFER);
         Ok(Self {
             poll: poll.clone(),
             listener,
@@ -309,6 +309,7 @@
         row.open = false;
         row.served = Some(now);
         row.active = now;
+        row.since = None;
         row.closing = row.closing || self.closing;
         write_answer(&mut row.tcp.out, answer, row.closing);
         self.flush(conn, events);
--- a/crates/chervilring_daemon/src/net/listener.rs
+++ b/crates/chervilring_daemon/src/net/listener.rs
@@ -34,11 +34,13 @@
         })
     }
 
-    /// Sets how many bytes the system holds of an accepted connection that is not read.
-    pub fn set_receive_buffer(&self, bytes: usize) {
+    /// Sets how many bytes the system holds of an accepted connection that is not read, and of one
+    /// whose peer does not read.
+    pub fn set_buffers(&self, bytes: usize) {
         let socket = SockRef::from(&*self.socket);
-        // A system that refuses keeps its own size, which works too.
+        // A system that refuses keeps its own sizes, which work too.
         drop(socket.set_recv_buffer_size(bytes));
+        drop(socket.set_send_buffer_size(bytes));
     }
 
     /// Returns whether connections may wait that the system had no room for, and forgets it.
