HTTP ports: calls that wait for long do not turn away ordinary callers

What callers saw: where a call waits on each of the connections that a port may have, for up to ten minutes, every further connection is closed at once. Found by a review.

Cause: at the limit only connections without an open request gave way.

Change: where there is none, the one whose call has waited longest gives way to a new connection; its caller sees a broken connection, and its job ends as that of any caller who has left.

--- a/crates/chervilring_daemon/src/net/http_port.rs
+++ b/crates/chervilring_daemon/src/net/http_port.rs
@@ -76,7 +76,7 @@
     limits: PortLimits,
     /// The size of the buffers of all connections, in bytes.
     held: usize,
-    /// The number of connections that were closed or not accepted because of a limit.
+    /// The number of connections that were closed because of a limit.
     shed: u64,
     /// Connections on which something came in behind a request that is answered now.
     pending: Vec<ConnNo>,
@@ -129,7 +129,7 @@
         self.closing = true;
     }
 
-    /// Returns how many connections were closed or not accepted because of a limit since the last call.
+    /// Returns how many connections were closed because of a limit since the last call.
     pub fn take_shed(&mut self) -> u64 {
         std::mem::take(&mut self.shed)
     }
@@ -206,9 +206,7 @@
             let Some(stream) = self.listener.accept() else {
                 return;
             };
-            if !self.make_room() {
-                continue;
-            }
+            self.make_room(events);
             // A connection that cannot be polled is dropped, which its peer sees.
             if let Ok(conn) = self.accept(now, stream) {
                 self.read(now, conn, events);
@@ -218,19 +216,19 @@
         self.unaccepted = true;
     }
 
-    /// Makes room for a connection. Returns whether there is any.
-    fn make_room(&mut self) -> bool {
+    /// Makes room for a connection.
+    fn make_room(&mut self, events: &mut Vec<HttpEvent>) {
         if self.conns.len() < self.limits.conns {
-            return true;
+            return;
         }
         self.shed += 1;
-        let idle = self.conns.iter().filter(|(_, c)| !c.open);
-        let oldest = idle.min_by_key(|(conn, c)| (c.served, c.active, **conn));
-        let Some((&conn, _)) = oldest else {
-            return false;
+        let oldest = |(conn, c): &(&ConnNo, &Conn)| {
+            let served = c.served.filter(|_| !c.open);
+            (c.open, served, c.active, **conn)
         };
-        self.remove(conn);
-        true
+        if let Some((&conn, _)) = self.conns.iter().min_by_key(oldest) {
+            self.drop_conn(conn, events);
+        }
     }
 
     fn accept(&mut self, now: Time, stream: TcpStream) -> io::Result<ConnNo> {
